--- /dev/null
+++ b/api/src/main/java/org/clementinepost/api/HeaderField.java
@@ -0,0 +1,4 @@
+package org.clementinepost.api;
+
+/** One header field of a request or an answer. */
+public record HeaderField(String name, String value) {}
--- /dev/null
+++ b/api/src/main/java/org/clementinepost/api/RequestHead.java
@@ -0,0 +1,46 @@
+package org.clementinepost.api;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+
+/**
+ * What the fleet knows of a request before its body: everything but the customer's key.
+ *
+ * @param requestId the caller's request
+ * @param attempt counts the places tried for this request, from one
+ * @param customer the customer whose key came with the request; none on a route open to all
+ * @param service the service that the route names
+ * @param method the HTTP method
+ * @param uri the path and query as the caller sent them
+ * @param headers the end-to-end header fields, without the key
+ * @param idempotent whether the request may run more than once
+ * @param idempotencyKey the caller's idempotency key
+ * @param timeoutMillis the time left until the deadline
+ */
+public record RequestHead(
+    RequestId requestId,
+    int attempt,
+    Option<CustomerId> customer,
+    ServiceId service,
+    String method,
+    String uri,
+    Vector<HeaderField> headers,
+    boolean idempotent,
+    Option<String> idempotencyKey,
+    long timeoutMillis) {
+
+  /** The same request on its next attempt, with the time that is left. */
+  public RequestHead nextAttempt(int nextAttempt, long remainingMillis) {
+    return new RequestHead(
+        requestId,
+        nextAttempt,
+        customer,
+        service,
+        method,
+        uri,
+        headers,
+        idempotent,
+        idempotencyKey,
+        remainingMillis);
+  }
+}
--- /dev/null
+++ b/api/src/main/java/org/clementinepost/api/ServiceId.java
@@ -0,0 +1,20 @@
+package org.clementinepost.api;
+
+import java.util.Objects;
+
+/** Names a service: a set of backend servers that answer the same requests. */
+public record ServiceId(String value) implements Comparable<ServiceId> {
+  public ServiceId {
+    Objects.requireNonNull(value, "value");
+  }
+
+  @Override
+  public int compareTo(ServiceId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/api/src/main/java/org/clementinepost/api/config/Drain.java
@@ -0,0 +1,6 @@
+package org.clementinepost.api.config;
+
+import org.clementinepost.api.BackendServerId;
+
+/** An operator's order that a backend server get no new work. */
+public record Drain(BackendServerId server) {}
--- /dev/null
+++ b/api/src/main/java/org/clementinepost/api/package-info.java
@@ -0,0 +1,2 @@
+/** Types and result codes that every module shares. */
+package org.clementinepost.api;
--- /dev/null
+++ b/api/src/main/java/org/clementinepost/api/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The messages between nodes, apart from their encoding. */
+package org.clementinepost.api.peer;
--- /dev/null
+++ b/kernel/src/main/java/org/clementinepost/kernel/Kernel.java
@@ -0,0 +1,115 @@
+package org.clementinepost.kernel;
+
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import java.util.SplittableRandom;
+import reactor.core.Disposable;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Starts services, lets them find each other by name, and stops them in reverse order.
+ *
+ * <p>The kernel knows no service but the timer; all else is given to its builder.
+ */
+public final class Kernel implements Registry, Disposable {
+  private final Map<String, Mailbox<?>> mailboxes;
+  private volatile boolean stopped;
+
+  private Kernel(Map<String, Mailbox<?>> mailboxes) {
+    this.mailboxes = mailboxes;
+  }
+
+  /** Creates a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  @Override
+  public <M> Address<M> find(ServiceName<M> name) {
+    return mailboxes
+        .get(name.text())
+        .map(mailbox -> Kernel.<M>typed(mailbox))
+        .getOrElse(() -> message -> Delivery.STOPPED);
+  }
+
+  @SuppressWarnings("unchecked") // A name is registered once, with the type that it carries.
+  private static <M> Address<M> typed(Mailbox<?> mailbox) {
+    return (Address<M>) mailbox;
+  }
+
+  @Override
+  public boolean isDisposed() {
+    return stopped;
+  }
+
+  /** Stops every service, the last started first. */
+  @Override
+  public void dispose() {
+    stopped = true;
+    mailboxes.values().reverse().forEach(Mailbox::dispose);
+  }
+
+  /** Collects what a kernel needs. */
+  public static final class Builder {
+    private Vector<ServiceDefinition<?>> definitions = Vector.empty();
+    private Scheduler scheduler;
+    private MonotonicClock clock = MonotonicClock.system();
+    private long seed;
+
+    private Builder() {}
+
+    /** The scheduler on which all tasks run. */
+    public Builder scheduler(Scheduler value) {
+      scheduler = value;
+      return this;
+    }
+
+    /** The clock that tasks read. */
+    public Builder clock(MonotonicClock value) {
+      clock = value;
+      return this;
+    }
+
+    /** The seed of the tasks' random numbers. */
+    public Builder seed(long value) {
+      seed = value;
+      return this;
+    }
+
+    /** Adds a service; services start in the order in which they are added. */
+    public Builder service(ServiceDefinition<?> definition) {
+      definitions = definitions.append(definition);
+      return this;
+    }
+
+    /** Starts the services. */
+    public Kernel start() {
+      Vector<ServiceDefinition<?>> all = definitions.prepend(TimerService.definition());
+      Map<String, Mailbox<?>> boxes = LinkedHashMap.empty();
+      for (ServiceDefinition<?> definition : all) {
+        String name = definition.name().text();
+        if (boxes.containsKey(name)) {
+          throw new IllegalArgumentException("two services are named " + name);
+        }
+        boxes = boxes.put(name, new Mailbox<>(name, definition.mailboxCapacity(), scheduler));
+      }
+      Kernel kernel = new Kernel(boxes);
+      SplittableRandom seeds = new SplittableRandom(seed);
+      all.forEach(definition -> startOne(kernel, definition, seeds.split()));
+      return kernel;
+    }
+
+    private <M> void startOne(
+        Kernel kernel, ServiceDefinition<M> definition, SplittableRandom random) {
+      Mailbox<M> mailbox = mailboxOf(kernel, definition);
+      mailbox.start(
+          definition.factory().apply(new TaskContext<>(mailbox, kernel, clock, random, scheduler)));
+    }
+
+    @SuppressWarnings("unchecked") // The mailbox was made for this very definition.
+    private static <M> Mailbox<M> mailboxOf(Kernel kernel, ServiceDefinition<M> definition) {
+      return (Mailbox<M>) kernel.mailboxes.get(definition.name().text()).get();
+    }
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
@@ -0,0 +1,102 @@
+package org.clementinepost.kernel;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import reactor.core.Disposable;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Runs one task's messages one at a time on a scheduler, without locks and without a thread of its
+ * own.
+ *
+ * <p>The counter holds the messages that wait or run. Senders add to the queue before they raise
+ * the counter, so a run always finds as many messages as it counts. The sender that raises it from
+ * zero schedules a run; a run that has taken its part of messages and leaves some schedules the
+ * next one, so that a busy task cannot keep a thread from the others.
+ */
+final class Mailbox<M> implements Address<M>, Disposable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MESSAGES_PER_RUN = 256;
+
+  private final String name;
+  private final int capacity;
+  private final Scheduler.Worker worker;
+  private final Queue<M> queue = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger pending = new AtomicInteger();
+  private volatile Behaviour<M> behaviour;
+  private volatile boolean stopped;
+
+  Mailbox(String name, int capacity, Scheduler scheduler) {
+    this.name = name;
+    this.capacity = capacity;
+    this.worker = scheduler.createWorker();
+  }
+
+  /** Starts the task; messages sent before wait in the mailbox. */
+  void start(Behaviour<M> started) {
+    behaviour = started;
+    if (pending.get() > 0) {
+      worker.schedule(this::run);
+    }
+  }
+
+  @Override
+  public Delivery send(M message) {
+    if (stopped) {
+      return Delivery.STOPPED;
+    }
+    if (pending.get() >= capacity) {
+      return Delivery.FULL;
+    }
+    queue.add(message);
+    if (pending.getAndIncrement() == 0 && behaviour != null) {
+      worker.schedule(this::run);
+    }
+    return Delivery.ACCEPTED;
+  }
+
+  private void run() {
+    for (int taken = 1; taken <= MESSAGES_PER_RUN; taken++) {
+      receive(queue.poll());
+      if (pending.decrementAndGet() == 0) {
+        return;
+      }
+    }
+    worker.schedule(this::run);
+  }
+
+  private void receive(M message) {
+    if (stopped) {
+      return;
+    }
+    try {
+      behaviour.receive(message);
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("event=task-failed task=%s message=%s", name, message);
+    }
+  }
+
+  @Override
+  public boolean isDisposed() {
+    return stopped;
+  }
+
+  /** Stops the task on its own worker, so that it lets go of its state where it owns it. */
+  @Override
+  public void dispose() {
+    if (stopped) {
+      return;
+    }
+    stopped = true;
+    Behaviour<M> last = behaviour;
+    worker.schedule(
+        () -> {
+          if (last != null) {
+            last.stop();
+          }
+          worker.dispose();
+        });
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/clementinepost/kernel/ServiceName.java
@@ -0,0 +1,26 @@
+package org.clementinepost.kernel;
+
+import java.util.Objects;
+
+/**
+ * The name by which a kernel service is found, with the type of the messages that it takes.
+ *
+ * @param text the name
+ * @param messageType the type of the service's messages
+ */
+public record ServiceName<M>(String text, Class<M> messageType) {
+  public ServiceName {
+    Objects.requireNonNull(text, "text");
+    Objects.requireNonNull(messageType, "messageType");
+  }
+
+  /** Creates a name. */
+  public static <M> ServiceName<M> of(String text, Class<M> messageType) {
+    return new ServiceName<>(text, messageType);
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/clementinepost/kernel/TaskContext.java
@@ -0,0 +1,20 @@
+package org.clementinepost.kernel;
+
+import java.util.random.RandomGenerator;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * What a task is given when it starts.
+ *
+ * @param self the task's own address
+ * @param registry finds the other services
+ * @param clock the monotonic clock
+ * @param random the task's own source of randomness, seeded by the kernel
+ * @param scheduler runs what a task's sockets and timers need
+ */
+public record TaskContext<M>(
+    Address<M> self,
+    Registry registry,
+    MonotonicClock clock,
+    RandomGenerator random,
+    Scheduler scheduler) {}
