--- a/api/src/main/java/org/clementinepost/api/RequestHead.java
+++ b/api/src/main/java/org/clementinepost/api/RequestHead.java
@@ -16,6 +16,7 @@
  * @param idempotent whether the request may run more than once
  * @param idempotencyKey the caller's idempotency key
  * @param timeoutMillis the time left until the deadline
+ * @param bodyBytes the length of the body, {@link #NO_BODY} or {@link #UNKNOWN_LENGTH}
  */
 public record RequestHead(
     RequestId requestId,
@@ -27,7 +28,14 @@
     Vector<HeaderField> headers,
     boolean idempotent,
     Option<String> idempotencyKey,
-    long timeoutMillis) {
+    long timeoutMillis,
+    long bodyBytes) {
+
+  /** The body length of a request without a body. */
+  public static final long NO_BODY = 0;
+
+  /** The body length of a request whose body comes in chunks. */
+  public static final long UNKNOWN_LENGTH = -1;
 
   /** The same request on its next attempt, with the time that is left. */
   public RequestHead nextAttempt(int nextAttempt, long remainingMillis) {
@@ -41,6 +49,7 @@
         headers,
         idempotent,
         idempotencyKey,
-        remainingMillis);
+        remainingMillis,
+        bodyBytes);
   }
 }
--- /dev/null
+++ b/api/src/main/java/org/clementinepost/api/peer/PeerMessage.java
@@ -0,0 +1,4 @@
+package org.clementinepost.api.peer;
+
+/** A message between two nodes. */
+public interface PeerMessage {}
--- a/kernel/src/main/java/org/clementinepost/kernel/Kernel.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Kernel.java
@@ -3,7 +3,6 @@
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Vector;
-import java.util.SplittableRandom;
 import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
 
@@ -92,24 +91,23 @@
         if (boxes.containsKey(name)) {
           throw new IllegalArgumentException("two services are named " + name);
         }
-        boxes = boxes.put(name, new Mailbox<>(name, definition.mailboxCapacity(), scheduler));
+        boxes = boxes.put(name, newMailbox(definition));
       }
       Kernel kernel = new Kernel(boxes);
-      SplittableRandom seeds = new SplittableRandom(seed);
-      all.forEach(definition -> startOne(kernel, definition, seeds.split()));
+      Starter starter = new Starter(kernel, scheduler, clock, seed);
+      all.forEach(definition -> startRegistered(kernel, starter, definition));
       return kernel;
     }
 
-    private <M> void startOne(
-        Kernel kernel, ServiceDefinition<M> definition, SplittableRandom random) {
-      Mailbox<M> mailbox = mailboxOf(kernel, definition);
-      mailbox.start(
-          definition.factory().apply(new TaskContext<>(mailbox, kernel, clock, random, scheduler)));
+    private <M> Mailbox<M> newMailbox(ServiceDefinition<M> definition) {
+      return new Mailbox<>(definition.name().text(), definition.mailboxCapacity(), scheduler);
     }
 
     @SuppressWarnings("unchecked") // The mailbox was made for this very definition.
-    private static <M> Mailbox<M> mailboxOf(Kernel kernel, ServiceDefinition<M> definition) {
-      return (Mailbox<M>) kernel.mailboxes.get(definition.name().text()).get();
+    private static <M> void startRegistered(
+        Kernel kernel, Starter starter, ServiceDefinition<M> definition) {
+      Mailbox<?> mailbox = kernel.mailboxes.get(definition.name().text()).get();
+      starter.start((Mailbox<M>) mailbox, definition);
     }
   }
 }
--- a/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
@@ -38,7 +39,7 @@
   void start(Behaviour<M> started) {
     behaviour = started;
     if (pending.get() > 0) {
-      worker.schedule(this::run);
+      schedule(this::run);
     }
   }
 
@@ -51,26 +52,39 @@
       return Delivery.FULL;
     }
     queue.add(message);
+    if (stopped && queue.remove(message)) {
+      return Delivery.STOPPED;
+    }
     if (pending.getAndIncrement() == 0 && behaviour != null) {
-      worker.schedule(this::run);
+      schedule(this::run);
     }
     return Delivery.ACCEPTED;
   }
 
+  /** A worker that is gone has nothing left to run. */
+  private void schedule(Runnable run) {
+    try {
+      worker.schedule(run);
+    } catch (RejectedExecutionException e) {
+      logger.atFine().log("event=task-gone task=%s", name);
+    }
+  }
+
   private void run() {
     for (int taken = 1; taken <= MESSAGES_PER_RUN; taken++) {
-      receive(queue.poll());
+      M message = queue.poll();
+      if (message == null) {
+        return;
+      }
+      receive(message);
       if (pending.decrementAndGet() == 0) {
         return;
       }
     }
-    worker.schedule(this::run);
+    schedule(this::run);
   }
 
   private void receive(M message) {
-    if (stopped) {
-      return;
-    }
     try {
       behaviour.receive(message);
     } catch (RuntimeException e) {
@@ -83,20 +97,29 @@
     return stopped;
   }
 
-  /** Stops the task on its own worker, so that it lets go of its state where it owns it. */
+  /**
+   * Stops the task on its own worker, so that it lets go of its state where it owns it.
+   *
+   * <p>Messages that stand in the mailbox are still taken: each may carry a reply that somebody
+   * waits for.
+   */
   @Override
   public void dispose() {
     if (stopped) {
       return;
     }
     stopped = true;
+    schedule(this::finish);
+  }
+
+  private void finish() {
     Behaviour<M> last = behaviour;
-    worker.schedule(
-        () -> {
-          if (last != null) {
-            last.stop();
-          }
-          worker.dispose();
-        });
+    if (last != null) {
+      for (M message = queue.poll(); message != null; message = queue.poll()) {
+        receive(message);
+      }
+      last.stop();
+    }
+    worker.dispose();
   }
 }
--- a/kernel/src/main/java/org/clementinepost/kernel/TaskContext.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/TaskContext.java
@@ -11,10 +11,12 @@
  * @param clock the monotonic clock
  * @param random the task's own source of randomness, seeded by the kernel
  * @param scheduler runs what a task's sockets and timers need
+ * @param spawner starts tasks that no name is kept for
  */
 public record TaskContext<M>(
     Address<M> self,
     Registry registry,
     MonotonicClock clock,
     RandomGenerator random,
-    Scheduler scheduler) {}
+    Scheduler scheduler,
+    Spawner spawner) {}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -0,0 +1,104 @@
+package org.clementinepost.node;
+
+import java.time.Duration;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.peer.DirectoryPeerMessage;
+import org.clementinepost.api.peer.PeerMessage;
+import org.clementinepost.kernel.Kernel;
+import org.clementinepost.kernel.Registry;
+import org.clementinepost.node.access.AccessService;
+import org.clementinepost.node.announce.AnnounceMessage;
+import org.clementinepost.node.announce.AnnounceService;
+import org.clementinepost.node.configuration.ConfigurationService;
+import org.clementinepost.node.directory.DirectoryMessage;
+import org.clementinepost.node.directory.DirectoryService;
+import org.clementinepost.node.edge.EdgeMessage;
+import org.clementinepost.node.edge.EdgeService;
+import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.node.host.HostService;
+import org.clementinepost.node.membership.MembershipService;
+import org.clementinepost.node.peer.ControlReceiver;
+import org.clementinepost.node.peer.PeerListener;
+import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.routing.RoutingService;
+import org.clementinepost.node.settings.NodeSettings;
+import org.clementinepost.platform.Platform;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+/** One running node: its services, in the order in which they start. */
+public final class Node implements Disposable {
+  private final Scheduler scheduler;
+  private final Kernel kernel;
+  private final Member self;
+
+  private Node(Scheduler scheduler, Kernel kernel, Member self) {
+    this.scheduler = scheduler;
+    this.kernel = kernel;
+    this.self = self;
+  }
+
+  /** Starts a node. */
+  public static Node start(NodeSettings settings, Platform platform, long incarnation) {
+    PeerListener listener =
+        PeerListener.open(
+            settings.peer(),
+            address -> new Member(settings.node(), incarnation, address, settings.domain()));
+    Member self = listener.self();
+    Scheduler scheduler =
+        Schedulers.newParallel("node", Runtime.getRuntime().availableProcessors(), true);
+    Kernel kernel =
+        Kernel.builder()
+            .scheduler(scheduler)
+            .seed(incarnation)
+            .service(ConfigurationService.definition(platform))
+            .service(MembershipService.definition(self, platform))
+            .service(RoutingService.definition())
+            .service(DirectoryService.definition(self))
+            .service(HostService.definition(self))
+            .service(ExchangeService.definition(settings.connectionsPerServer()))
+            .service(PeerService.definition(listener, Node::controlReceiver))
+            .service(AccessService.definition())
+            .service(AnnounceService.definition(settings.announce()))
+            .service(EdgeService.definition(self, settings.ingress()))
+            .start();
+    return new Node(scheduler, kernel, self);
+  }
+
+  private static ControlReceiver controlReceiver(Registry registry) {
+    return (from, message) -> dispatch(registry, from, message);
+  }
+
+  private static void dispatch(Registry registry, NodeId from, PeerMessage message) {
+    if (message instanceof DirectoryPeerMessage directory) {
+      registry.find(DirectoryService.NAME).send(new DirectoryMessage.FromPeer(from, directory));
+    }
+  }
+
+  /** This node as the others know it. */
+  public Member self() {
+    return self;
+  }
+
+  /** The port for callers. */
+  public Mono<Integer> ingressPort() {
+    return Mono.create(
+        sink -> kernel.find(EdgeService.NAME).send(new EdgeMessage.PortAsked(sink::success)));
+  }
+
+  /** The port for backend servers' announcements. */
+  public Mono<Integer> announcePort() {
+    return Mono.create(
+        sink ->
+            kernel.find(AnnounceService.NAME).send(new AnnounceMessage.PortAsked(sink::success)));
+  }
+
+  @Override
+  public void dispose() {
+    kernel.dispose();
+    scheduler.disposeGracefully().block(Duration.ofSeconds(5));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/access/AccessMessage.java
@@ -0,0 +1,18 @@
+package org.clementinepost.node.access;
+
+import io.vavr.control.Either;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.kernel.Reply;
+import org.clementinepost.policy.access.ArrivedRequest;
+
+/** What the access service is told. */
+public sealed interface AccessMessage {
+  /** A request has arrived. */
+  record Arrived(ArrivedRequest request, Reply<Either<Failure, RequestHead>> reply)
+      implements AccessMessage {}
+
+  /** A configuration has come into force. */
+  record Configured(Snapshot snapshot) implements AccessMessage {}
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
@@ -0,0 +1,87 @@
+package org.clementinepost.node.announce;
+
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.node.host.HostMessage;
+import org.clementinepost.node.host.HostService;
+import org.clementinepost.policy.host.Announcement;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Owns the port on which the backend servers of this VM announce themselves. */
+public final class AnnounceService implements Behaviour<AnnounceMessage> {
+  /** The name by which the service is found. */
+  public static final ServiceName<AnnounceMessage> NAME =
+      ServiceName.of("announce", AnnounceMessage.class);
+
+  private static final int ACCEPTED_STATUS = 202;
+
+  private final Address<HostMessage> host;
+  private final DisposableServer server;
+
+  private AnnounceService(TaskContext<AnnounceMessage> context, NetworkAddress address) {
+    this.host = context.registry().find(HostService.NAME);
+    this.server =
+        HttpServer.create()
+            .host(address.host())
+            .port(address.port())
+            .route(routes -> routes.post("/announce", this::announce))
+            .bindNow();
+  }
+
+  /** Defines the service. */
+  public static ServiceDefinition<AnnounceMessage> definition(NetworkAddress address) {
+    return new ServiceDefinition<>(
+        NAME,
+        ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
+        context -> new AnnounceService(context, address));
+  }
+
+  private Publisher<Void> announce(HttpServerRequest request, HttpServerResponse response) {
+    return request
+        .receive()
+        .aggregate()
+        .asByteArray()
+        .defaultIfEmpty(new byte[0])
+        .map(AnnouncementReader::read)
+        .flatMap(
+            read ->
+                read.fold(
+                    failure -> refuse(response, failure),
+                    announcement -> take(response, announcement)));
+  }
+
+  private Mono<Void> take(HttpServerResponse response, Announcement announcement) {
+    if (!host.send(new HostMessage.Announced(announcement)).accepted()) {
+      return refuse(response, Failure.of(ResultCode.NODE_OVERLOADED));
+    }
+    return response.status(ACCEPTED_STATUS).send();
+  }
+
+  private static Mono<Void> refuse(HttpServerResponse response, Failure failure) {
+    return response
+        .status(failure.code().httpStatus())
+        .sendString(Mono.just(failure.code().number() + " " + failure.detail() + "\n"))
+        .then();
+  }
+
+  @Override
+  public void receive(AnnounceMessage message) {
+    ((AnnounceMessage.PortAsked) message).reply().send(server.port());
+  }
+
+  @Override
+  public void stop() {
+    server.disposeNow();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnouncementReader.java
@@ -0,0 +1,57 @@
+package org.clementinepost.node.announce;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import io.vavr.control.Try;
+import java.util.Locale;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.policy.host.Announcement;
+
+/** Reads a backend server's announcement. */
+final class AnnouncementReader {
+  private static final int MAX_SLOTS = 100_000;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private AnnouncementReader() {}
+
+  static Either<Failure, Announcement> read(byte[] json) {
+    return Try.of(() -> announcement(MAPPER.readTree(json)))
+        .toEither()
+        .mapLeft(
+            error ->
+                Failure.of(ResultCode.ANNOUNCEMENT_INVALID, String.valueOf(error.getMessage())));
+  }
+
+  private static Announcement announcement(JsonNode node) {
+    return new Announcement(
+        new BackendServerId(text(node, "id")),
+        new ServiceId(text(node, "service")),
+        NetworkAddress.parse(text(node, "address")),
+        count(node, "slots"),
+        count(node, "connections"),
+        Announcement.State.valueOf(text(node, "state").toUpperCase(Locale.ROOT)),
+        node.path("uptimeMillis").asLong(),
+        node.path("load").path("busySlots").asInt());
+  }
+
+  private static String text(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.isTextual() || value.asText().isEmpty()) {
+      throw new IllegalArgumentException(field + " must be a text");
+    }
+    return value.asText();
+  }
+
+  private static int count(JsonNode node, String field) {
+    int value = node.path(field).asInt();
+    if (value < 1 || value > MAX_SLOTS) {
+      throw new IllegalArgumentException(field + " must be from 1 to " + MAX_SLOTS);
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/announce/package-info.java
@@ -0,0 +1,2 @@
+/** Where backend servers announce themselves. */
+package org.clementinepost.node.announce;
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/configuration/ConfigurationService.java
@@ -0,0 +1,82 @@
+package org.clementinepost.node.configuration;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.Reply;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.kernel.TimerService;
+import org.clementinepost.platform.Platform;
+import org.clementinepost.platform.config.ConfigurationStore;
+
+/** Keeps the newest configuration that this node has seen, and tells the other services. */
+public final class ConfigurationService implements Behaviour<ConfigurationMessage> {
+  /** The name by which the service is found. */
+  public static final ServiceName<ConfigurationMessage> NAME =
+      ServiceName.of("configuration", ConfigurationMessage.class);
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long POLL_MILLIS = 1_000;
+
+  private final TaskContext<ConfigurationMessage> context;
+  private final ConfigurationStore store;
+  private Snapshot current = Snapshot.empty();
+  private Vector<Reply<Snapshot>> listeners = Vector.empty();
+
+  private ConfigurationService(
+      TaskContext<ConfigurationMessage> context, ConfigurationStore store) {
+    this.context = context;
+    this.store = store;
+    context
+        .registry()
+        .find(TimerService.NAME)
+        .send(
+            new TimerService.Every(
+                NAME.text(),
+                0,
+                POLL_MILLIS,
+                () -> context.self().send(new ConfigurationMessage.Poll())));
+  }
+
+  /** Defines the service. */
+  public static ServiceDefinition<ConfigurationMessage> definition(Platform platform) {
+    return new ServiceDefinition<>(
+        NAME,
+        ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
+        context -> new ConfigurationService(context, new ConfigurationStore(platform)));
+  }
+
+  @Override
+  public void receive(ConfigurationMessage message) {
+    if (message instanceof ConfigurationMessage.Subscribe subscribe) {
+      listeners = listeners.append(subscribe.listener());
+      subscribe.listener().send(current);
+      return;
+    }
+    if (message instanceof ConfigurationMessage.Poll) {
+      store
+          .loadNewerThan(current)
+          .subscribe(loaded -> context.self().send(new ConfigurationMessage.Loaded(loaded)));
+      return;
+    }
+    loaded(((ConfigurationMessage.Loaded) message).snapshot());
+  }
+
+  private void loaded(Either<Failure, Snapshot> loaded) {
+    if (loaded.isLeft()) {
+      logger.atWarning().log("event=configuration-poll result=%s", loaded.getLeft());
+      return;
+    }
+    if (loaded.get().version() <= current.version()) {
+      return;
+    }
+    current = loaded.get();
+    logger.atInfo().log("event=configuration version=%d", current.version());
+    listeners.forEach(listener -> listener.send(current));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force on this node. */
+package org.clementinepost.node.configuration;
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/directory/package-info.java
@@ -0,0 +1,2 @@
+/** Which backend servers answer for a service. */
+package org.clementinepost.node.directory;
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/edge/AttemptEnd.java
@@ -0,0 +1,66 @@
+package org.clementinepost.node.edge;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResponseHead;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.MonotonicClock;
+import org.clementinepost.node.exchange.Answer;
+import org.clementinepost.node.routing.RoutingMessage;
+
+/** Tells the routing service once how an attempt has ended. */
+final class AttemptEnd {
+  private final Address<RoutingMessage> routing;
+  private final Endpoint endpoint;
+  private final MonotonicClock clock;
+  private final long startedNanos;
+  private final AtomicBoolean told = new AtomicBoolean();
+
+  AttemptEnd(Address<RoutingMessage> routing, Endpoint endpoint, MonotonicClock clock) {
+    this.routing = routing;
+    this.endpoint = endpoint;
+    this.clock = clock;
+    this.startedNanos = clock.nowNanos();
+  }
+
+  Either<Failure, Answer> watch(Either<Failure, Answer> answer) {
+    if (answer.isLeft()) {
+      tell(Option.some(answer.getLeft()), 0, 0);
+      return answer;
+    }
+    return Either.right(watch(answer.get()));
+  }
+
+  private Answer watch(Answer answer) {
+    ResponseHead head = answer.head();
+    return new Answer(
+        head,
+        answer
+            .body()
+            .doOnComplete(() -> tell(Option.none(), head.status(), head.serverMicros()))
+            .doOnError(
+                error ->
+                    tell(
+                        Option.some(Failure.of(ResultCode.BACKEND_ANSWER_LOST)),
+                        head.status(),
+                        head.serverMicros()))
+            .doOnCancel(() -> tell(Option.none(), head.status(), head.serverMicros())));
+  }
+
+  /** The caller went away; that says nothing of the backend server. */
+  void cancelled() {
+    tell(Option.none(), 0, 0);
+  }
+
+  private void tell(Option<Failure> failure, int status, long serverMicros) {
+    if (told.compareAndSet(false, true)) {
+      long totalMicros = TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - startedNanos);
+      routing.send(new RoutingMessage.Ended(endpoint, failure, status, serverMicros, totalMicros));
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/edge/Problem.java
@@ -0,0 +1,26 @@
+package org.clementinepost.node.edge;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.RequestId;
+
+/** The body of the fleet's own refusals, as RFC 9457 has it. */
+final class Problem {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String TYPE_PREFIX = "urn:clementinepost:result:";
+
+  private Problem() {}
+
+  static String json(RequestId id, Failure failure) {
+    return MAPPER
+        .createObjectNode()
+        .put("type", TYPE_PREFIX + failure.code().number())
+        .put("title", failure.code().title())
+        .put("status", failure.code().httpStatus())
+        .put("detail", failure.detail())
+        .put("code", failure.code().number())
+        .put("run", failure.runState().label())
+        .put("requestId", id.value())
+        .toString();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -0,0 +1,142 @@
+package org.clementinepost.node.edge;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Ask;
+import org.clementinepost.kernel.MonotonicClock;
+import org.clementinepost.kernel.Registry;
+import org.clementinepost.kernel.Results;
+import org.clementinepost.node.access.AccessMessage;
+import org.clementinepost.node.access.AccessService;
+import org.clementinepost.node.exchange.Answer;
+import org.clementinepost.node.exchange.ExchangeMessage;
+import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.node.exchange.Exchanges;
+import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.peer.PeerServiceMessage;
+import org.clementinepost.node.routing.RoutingMessage;
+import org.clementinepost.node.routing.RoutingService;
+import org.clementinepost.policy.access.ArrivedRequest;
+import org.clementinepost.policy.routing.RetryPolicy;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Takes a request through the node: access, placement, the attempts, and the answer.
+ *
+ * <p>It holds no state but that of its one request. Whatever is decided is decided by the services
+ * that it asks; it knows nothing of HTTP, so that another front end can use it.
+ */
+final class RequestPipeline {
+  /** What an ingress waits beyond the deadline that the host keeps itself. */
+  private static final long HOST_GRACE_MILLIS = 250;
+
+  private final NodeId self;
+  private final MonotonicClock clock;
+  private final Scheduler scheduler;
+  private final Address<AccessMessage> access;
+  private final Address<RoutingMessage> routing;
+  private final Address<ExchangeMessage> exchanges;
+  private final Address<PeerServiceMessage> peers;
+
+  RequestPipeline(NodeId self, MonotonicClock clock, Scheduler scheduler, Registry registry) {
+    this.self = self;
+    this.clock = clock;
+    this.scheduler = scheduler;
+    this.access = registry.find(AccessService.NAME);
+    this.routing = registry.find(RoutingService.NAME);
+    this.exchanges = registry.find(ExchangeService.NAME);
+    this.peers = registry.find(PeerService.NAME);
+  }
+
+  /** Runs one request. */
+  Mono<Either<Failure, Answer>> run(ArrivedRequest request, UploadBody body) {
+    Mono<Either<Failure, RequestHead>> admitted =
+        Ask.of(access, reply -> new AccessMessage.Arrived(request, reply));
+    return Results.then(
+        admitted, head -> attempt(head, body, HashSet.empty(), deadlineNanos(head)));
+  }
+
+  private long deadlineNanos(RequestHead head) {
+    return clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis());
+  }
+
+  private long remainingMillis(long deadlineNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - clock.nowNanos());
+  }
+
+  private Mono<Either<Failure, Answer>> attempt(
+      RequestHead head, UploadBody body, Set<BackendServerId> tried, long deadlineNanos) {
+    Mono<Either<Failure, Endpoint>> placed =
+        Ask.of(routing, reply -> new RoutingMessage.Place(head, tried, reply));
+    return Results.then(
+        placed,
+        endpoint ->
+            exchange(endpoint, head, body)
+                .flatMap(
+                    answer ->
+                        answered(head, body, tried.add(endpoint.server()), deadlineNanos, answer)));
+  }
+
+  private Mono<Either<Failure, Answer>> answered(
+      RequestHead head,
+      UploadBody body,
+      Set<BackendServerId> tried,
+      long deadlineNanos,
+      Either<Failure, Answer> answer) {
+    long remainingMillis = remainingMillis(deadlineNanos);
+    boolean again =
+        answer.isLeft()
+            && RetryPolicy.mayTryAgain(head, answer.getLeft(), body.started(), remainingMillis);
+    if (!again) {
+      return Mono.just(answer);
+    }
+    RequestHead next = head.nextAttempt(head.attempt() + 1, remainingMillis);
+    return attempt(next, body, tried, deadlineNanos)
+        .map(second -> moreTelling(answer.getLeft(), second));
+  }
+
+  /** When nobody is left to try, the caller is told why the tries before failed. */
+  private static Either<Failure, Answer> moreTelling(
+      Failure first, Either<Failure, Answer> second) {
+    boolean nobodyLeft = second.isLeft() && second.getLeft().code() == ResultCode.RETRIES_EXHAUSTED;
+    return nobodyLeft ? Either.left(first) : second;
+  }
+
+  private Mono<Either<Failure, Answer>> exchange(
+      Endpoint endpoint, RequestHead head, UploadBody body) {
+    AttemptEnd end = new AttemptEnd(routing, endpoint, clock);
+    return ask(endpoint, head, body)
+        .timeout(Duration.ofMillis(head.timeoutMillis() + HOST_GRACE_MILLIS), scheduler)
+        .onErrorResume(
+            TimeoutException.class,
+            error -> Mono.just(Either.left(Failure.of(ResultCode.BACKEND_TIMED_OUT))))
+        .map(answer -> end.watch(answer))
+        .doOnCancel(end::cancelled);
+  }
+
+  private Mono<Either<Failure, Answer>> ask(Endpoint endpoint, RequestHead head, UploadBody body) {
+    if (endpoint.host().equals(self)) {
+      return Exchanges.ask(
+          exchanges,
+          (cancelled, reply) ->
+              new ExchangeMessage.Send(endpoint.server(), head, body.body(), cancelled, reply));
+    }
+    return Exchanges.ask(
+        peers,
+        (cancelled, reply) ->
+            new PeerServiceMessage.Exchange(
+                endpoint.host(), endpoint.server(), head, body.body(), cancelled, reply));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeEnd.java
@@ -0,0 +1,59 @@
+package org.clementinepost.node.exchange;
+
+import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResponseHead;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.MonotonicClock;
+import org.clementinepost.node.host.HostMessage;
+import org.clementinepost.policy.host.Admission;
+
+/** Tells the host service once how an admitted request has ended. */
+final class ExchangeEnd {
+  private final Address<HostMessage> host;
+  private final Admission admission;
+  private final MonotonicClock clock;
+  private final long startedNanos;
+  private final AtomicBoolean told = new AtomicBoolean();
+
+  ExchangeEnd(Address<HostMessage> host, Admission admission, MonotonicClock clock) {
+    this.host = host;
+    this.admission = admission;
+    this.clock = clock;
+    this.startedNanos = clock.nowNanos();
+  }
+
+  Answer watch(Answer answer) {
+    long serverMicros = elapsedMicros();
+    return new Answer(
+        new ResponseHead(
+            answer.head().status(), answer.head().headers(), answer.head().server(), serverMicros),
+        answer
+            .body()
+            .doOnComplete(() -> tell(Option.none(), answer.head().status(), serverMicros))
+            .doOnError(
+                error ->
+                    tell(
+                        Option.some(Failure.of(ResultCode.BACKEND_ANSWER_LOST)),
+                        answer.head().status(),
+                        serverMicros))
+            .doOnCancel(() -> tell(Option.none(), answer.head().status(), serverMicros)));
+  }
+
+  void failed(Failure failure) {
+    tell(Option.some(failure), 0, elapsedMicros());
+  }
+
+  private void tell(Option<Failure> failure, int status, long serverMicros) {
+    if (told.compareAndSet(false, true)) {
+      host.send(new HostMessage.Ended(admission.number(), failure, status, serverMicros));
+    }
+  }
+
+  private long elapsedMicros() {
+    return TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - startedNanos);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
@@ -0,0 +1,94 @@
+package org.clementinepost.node.exchange;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.concurrent.TimeoutException;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Ask;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.Results;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.node.host.HostMessage;
+import org.clementinepost.node.host.HostService;
+import org.clementinepost.policy.host.Admission;
+import reactor.core.publisher.Mono;
+
+/**
+ * Sends requests to the backend servers of this host.
+ *
+ * <p>It owns the connections to them. Each request is admitted by the host service first; its end
+ * is told to the host service once, whatever the end is.
+ */
+public final class ExchangeService implements Behaviour<ExchangeMessage> {
+  /** The name by which the service is found. */
+  public static final ServiceName<ExchangeMessage> NAME =
+      ServiceName.of("exchange", ExchangeMessage.class);
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final TaskContext<ExchangeMessage> context;
+  private final BackendClient client;
+  private final Address<HostMessage> host;
+
+  private ExchangeService(TaskContext<ExchangeMessage> context, int connectionsPerServer) {
+    this.context = context;
+    this.client = new BackendClient(connectionsPerServer);
+    this.host = context.registry().find(HostService.NAME);
+  }
+
+  /** Defines the service. */
+  public static ServiceDefinition<ExchangeMessage> definition(int connectionsPerServer) {
+    return new ServiceDefinition<>(
+        NAME,
+        ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES,
+        context -> new ExchangeService(context, connectionsPerServer));
+  }
+
+  @Override
+  public void receive(ExchangeMessage message) {
+    ExchangeMessage.Send send = (ExchangeMessage.Send) message;
+    Mono<Either<Failure, Admission>> admitted =
+        Ask.of(host, reply -> new HostMessage.Admit(send.server(), send.head(), reply));
+    Mono<Either<Failure, Answer>> answer =
+        Results.then(admitted, admission -> exchange(send, admission));
+    cancellable(send, answer)
+        .subscribe(
+            send.reply()::send,
+            error -> {
+              logger.atSevere().withCause(error).log(
+                  "event=exchange-failed request=%s", send.head().requestId());
+              send.reply().send(Either.left(Failure.of(ResultCode.INTERNAL)));
+            });
+  }
+
+  /** A request that may run once only runs to its end, whether or not the caller still waits. */
+  private static Mono<Either<Failure, Answer>> cancellable(
+      ExchangeMessage.Send send, Mono<Either<Failure, Answer>> answer) {
+    return send.head().idempotent() ? answer.takeUntilOther(send.cancelled()) : answer;
+  }
+
+  private Mono<Either<Failure, Answer>> exchange(ExchangeMessage.Send send, Admission admission) {
+    RequestHead head = send.head();
+    ExchangeEnd end = new ExchangeEnd(host, admission, context.clock());
+    return client
+        .send(admission, head, send.body())
+        .map(answer -> answer.map(whole -> end.watch(whole)))
+        .timeout(Duration.ofMillis(head.timeoutMillis()), context.scheduler())
+        .onErrorResume(
+            TimeoutException.class,
+            error -> Mono.just(Either.left(Failure.of(ResultCode.BACKEND_TIMED_OUT))))
+        .doOnNext(answer -> answer.swap().forEach(failure -> end.failed(failure)))
+        .doOnCancel(() -> end.failed(Failure.of(ResultCode.BACKEND_ANSWER_LOST, "cancelled")));
+  }
+
+  @Override
+  public void stop() {
+    client.dispose();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/exchange/Exchanges.java
@@ -0,0 +1,48 @@
+package org.clementinepost.node.exchange;
+
+import io.vavr.control.Either;
+import java.util.function.BiFunction;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Delivery;
+import org.clementinepost.kernel.Reply;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+import reactor.core.publisher.Sinks;
+
+/** Asks for an answer in a way that can be cancelled, and loses no answer that comes too late. */
+public final class Exchanges {
+  private Exchanges() {}
+
+  /**
+   * Sends a message that is answered by an {@link Answer}.
+   *
+   * @param address the task to ask
+   * @param question makes the message from the cancellation and the reply
+   */
+  public static <M> Mono<Either<Failure, Answer>> ask(
+      Address<M> address, BiFunction<Mono<Void>, Reply<Either<Failure, Answer>>, M> question) {
+    return Mono.create(sink -> ask(address, question, sink));
+  }
+
+  private static <M> void ask(
+      Address<M> address,
+      BiFunction<Mono<Void>, Reply<Either<Failure, Answer>>, M> question,
+      MonoSink<Either<Failure, Answer>> sink) {
+    Sinks.Empty<Void> cancelled = Sinks.empty();
+    PendingAnswer pending = new PendingAnswer(sink);
+    sink.onCancel(
+        () -> {
+          pending.cancel();
+          cancelled.tryEmitEmpty();
+        });
+    Delivery delivery = address.send(question.apply(cancelled.asMono(), pending::answer));
+    if (delivery == Delivery.FULL) {
+      sink.success(Either.left(Failure.of(ResultCode.NODE_OVERLOADED)));
+    }
+    if (delivery == Delivery.STOPPED) {
+      sink.success(Either.left(Failure.of(ResultCode.NODE_STOPPING)));
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -0,0 +1,111 @@
+package org.clementinepost.node.host;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.collection.Vector;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Member;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.MonotonicClock;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.kernel.TimerService;
+import org.clementinepost.node.configuration.ConfigurationMessage;
+import org.clementinepost.node.configuration.ConfigurationService;
+import org.clementinepost.node.directory.DirectoryMessage;
+import org.clementinepost.node.directory.DirectoryService;
+import org.clementinepost.policy.host.Announcement;
+import org.clementinepost.policy.host.HostEffect;
+import org.clementinepost.policy.host.HostEvent;
+import org.clementinepost.policy.host.HostPolicy;
+import org.clementinepost.policy.host.HostState;
+
+/** Runs the host's decision on the messages of this node. */
+public final class HostService {
+  /** The name by which the service is found. */
+  public static final ServiceName<HostMessage> NAME = ServiceName.of("host", HostMessage.class);
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TICK_MILLIS = 250;
+
+  private HostService() {}
+
+  /** Defines the service on a node. */
+  public static ServiceDefinition<HostMessage> definition(Member self) {
+    return new ServiceDefinition<>(
+        NAME, ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES, context -> start(context, self));
+  }
+
+  private static Behaviour<HostMessage> start(TaskContext<HostMessage> context, Member self) {
+    context
+        .registry()
+        .find(TimerService.NAME)
+        .send(
+            new TimerService.Every(
+                NAME.text(),
+                TICK_MILLIS,
+                TICK_MILLIS,
+                () -> context.self().send(new HostMessage.Tick())));
+    context
+        .registry()
+        .find(ConfigurationService.NAME)
+        .send(
+            new ConfigurationMessage.Subscribe(
+                snapshot -> context.self().send(new HostMessage.Configured(snapshot))));
+    Address<DirectoryMessage> directory = context.registry().find(DirectoryService.NAME);
+    return Behaviour.deciding(
+        HostState.empty(),
+        message -> event(message, context.clock()),
+        new HostPolicy(self.domain()),
+        effect -> handle(effect, self, directory));
+  }
+
+  private static HostEvent event(HostMessage message, MonotonicClock clock) {
+    if (message instanceof HostMessage.Admit admit) {
+      return new HostEvent.Admit(admit.server(), admit.head(), clock.nowNanos(), admit.reply());
+    }
+    if (message instanceof HostMessage.Ended ended) {
+      return new HostEvent.Ended(
+          ended.admission(),
+          ended.failure(),
+          ended.status(),
+          ended.serverMicros(),
+          clock.nowNanos());
+    }
+    if (message instanceof HostMessage.Announced announced) {
+      return new HostEvent.Announced(announced.announcement(), clock.nowNanos());
+    }
+    if (message instanceof HostMessage.Configured configured) {
+      return new HostEvent.Configured(configured.snapshot());
+    }
+    return new HostEvent.Tick(clock.nowNanos());
+  }
+
+  private static void handle(HostEffect effect, Member self, Address<DirectoryMessage> directory) {
+    if (effect instanceof HostEffect.Admitted admitted) {
+      logger.atInfo().log(
+          "event=admission request=%s attempt=%d server=%s result=%s",
+          admitted.head().requestId(),
+          admitted.head().attempt(),
+          admitted.server(),
+          admitted.answer().fold(failure -> failure.code().number(), admission -> 0));
+      admitted.reply().send(admitted.answer());
+      return;
+    }
+    HostEffect.Publish publish = (HostEffect.Publish) effect;
+    logger.atInfo().log("event=hosted-servers servers=%d", publish.serving().size());
+    directory.send(new DirectoryMessage.Hosted(endpoints(publish.serving(), self)));
+  }
+
+  private static Vector<Endpoint> endpoints(Vector<Announcement> serving, Member self) {
+    return serving.map(
+        announcement ->
+            new Endpoint(
+                announcement.server(),
+                announcement.service(),
+                self.node(),
+                self.domain(),
+                announcement.slots()));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which nodes make up the fleet. */
+package org.clementinepost.node.membership;
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/package-info.java
@@ -0,0 +1,2 @@
+/** The node: its kernel services and the binary that starts them. */
+package org.clementinepost.node;
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/peer/BodyReceiver.java
@@ -0,0 +1,63 @@
+package org.clementinepost.node.peer;
+
+import org.clementinepost.api.Chunk;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.node.exchange.BodyFailedException;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+
+/**
+ * Gives the chunks that arrive on a stream as a {@link Flux}, and its reader's demand to the other
+ * side.
+ *
+ * <p>The connection's task alone puts chunks in. A body whose length differs from what the other
+ * side has counted fails, so that a cut answer is never taken for a whole one.
+ */
+final class BodyReceiver {
+  /** Chunks that may be on their way on one stream. */
+  private static final int WINDOW_CHUNKS = 32;
+
+  private final Sinks.Many<Chunk> sink = Sinks.many().unicast().onBackpressureBuffer();
+  private final Flux<Chunk> body;
+  private long receivedBytes;
+
+  BodyReceiver(long streamId, Address<ConnectionMessage> connection) {
+    body =
+        sink.asFlux()
+            .doOnRequest(
+                chunks ->
+                    connection.send(new ConnectionMessage.ReaderDemand(streamId, bounded(chunks))))
+            .doOnCancel(() -> connection.send(new ConnectionMessage.ReaderCancelled(streamId)))
+            .limitRate(WINDOW_CHUNKS);
+  }
+
+  private static int bounded(long chunks) {
+    return (int) Math.min(chunks, WINDOW_CHUNKS);
+  }
+
+  Flux<Chunk> body() {
+    return body;
+  }
+
+  void chunk(Chunk chunk) {
+    receivedBytes += chunk.length();
+    sink.tryEmitNext(chunk);
+  }
+
+  void end(long totalBytes) {
+    if (totalBytes == receivedBytes) {
+      sink.tryEmitComplete();
+      return;
+    }
+    fail(
+        Failure.of(
+            ResultCode.PEER_PROTOCOL,
+            "body of " + receivedBytes + " bytes ended as " + totalBytes));
+  }
+
+  void fail(Failure failure) {
+    sink.tryEmitError(new BodyFailedException(failure));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
@@ -0,0 +1,149 @@
+package org.clementinepost.node.peer;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.function.Consumer;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.peer.PeerMessage;
+import org.clementinepost.api.peer.StreamMessage;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Reply;
+import org.clementinepost.node.exchange.Answer;
+
+/** The streams of the side that opens them: requests out, answers in. */
+final class OpenedStreams implements StreamRole {
+  /** One request that has not ended; its receiver is there once the answer's head has come. */
+  private record Opened(
+      BodySender request, Option<BodyReceiver> answer, Reply<Either<Failure, Answer>> reply) {}
+
+  private final Address<ConnectionMessage> self;
+  private final Consumer<PeerMessage> wire;
+  private Map<Long, Opened> streams = HashMap.empty();
+  private long nextStreamId = 1;
+
+  OpenedStreams(Address<ConnectionMessage> self, Consumer<PeerMessage> wire) {
+    this.self = self;
+    this.wire = wire;
+  }
+
+  private void open(ConnectionMessage.Open open) {
+    long streamId = nextStreamId++;
+    BodySender request = new BodySender(streamId, open.body(), self);
+    streams = streams.put(streamId, new Opened(request, Option.none(), open.reply()));
+    wire.accept(new StreamMessage.Open(streamId, open.server(), open.head()));
+    open.cancelled()
+        .subscribe(
+            nothing -> {},
+            error -> {},
+            () -> self.send(new ConnectionMessage.ReaderCancelled(streamId)));
+  }
+
+  @Override
+  public void receive(StreamMessage message) {
+    streams.get(message.streamId()).forEach(opened -> receive(opened, message));
+  }
+
+  private void receive(Opened opened, StreamMessage message) {
+    if (message instanceof StreamMessage.Demand demand) {
+      opened.request().demand(demand.chunks());
+      return;
+    }
+    if (message instanceof StreamMessage.Answered answered) {
+      answered(opened, answered);
+      return;
+    }
+    if (message instanceof StreamMessage.Data data) {
+      opened.answer().forEach(answer -> answer.chunk(data.content()));
+      return;
+    }
+    if (message instanceof StreamMessage.End end) {
+      remove(message.streamId());
+      opened.answer().forEach(answer -> answer.end(end.totalBytes()));
+      opened.request().abandon();
+      return;
+    }
+    if (message instanceof StreamMessage.Failed failed) {
+      remove(message.streamId());
+      fail(opened, failed.failure());
+    }
+  }
+
+  private void answered(Opened opened, StreamMessage.Answered answered) {
+    if (opened.answer().isDefined()) {
+      return;
+    }
+    BodyReceiver receiver = new BodyReceiver(answered.streamId(), self);
+    streams =
+        streams.put(
+            answered.streamId(),
+            new Opened(opened.request(), Option.some(receiver), opened.reply()));
+    opened.reply().send(Either.right(new Answer(answered.head(), receiver.body())));
+  }
+
+  /** Ends a stream; a request that a refusal leaves unread can still be sent elsewhere. */
+  private static void fail(Opened opened, Failure failure) {
+    if (opened.answer().isDefined()) {
+      opened.answer().get().fail(failure);
+      opened.request().abandon();
+      return;
+    }
+    opened.request().cancelIfStarted();
+    opened.reply().send(Either.left(failure));
+  }
+
+  @Override
+  public void local(ConnectionMessage message) {
+    if (message instanceof ConnectionMessage.Open open) {
+      open(open);
+      return;
+    }
+    if (message instanceof ConnectionMessage.BodyChunk chunk) {
+      ifKnown(chunk.streamId(), new StreamMessage.Data(chunk.streamId(), chunk.chunk()));
+      return;
+    }
+    if (message instanceof ConnectionMessage.BodyEnded ended) {
+      ifKnown(ended.streamId(), new StreamMessage.End(ended.streamId(), ended.totalBytes()));
+      return;
+    }
+    if (message instanceof ConnectionMessage.BodyFailed failed) {
+      ifKnown(failed.streamId(), new StreamMessage.Failed(failed.streamId(), failed.failure()));
+      return;
+    }
+    if (message instanceof ConnectionMessage.ReaderDemand demand) {
+      ifKnown(demand.streamId(), new StreamMessage.Demand(demand.streamId(), demand.chunks()));
+      return;
+    }
+    if (message instanceof ConnectionMessage.ReaderCancelled cancelled) {
+      cancel(cancelled.streamId());
+    }
+  }
+
+  private void ifKnown(long streamId, PeerMessage message) {
+    if (streams.containsKey(streamId)) {
+      wire.accept(message);
+    }
+  }
+
+  private void cancel(long streamId) {
+    Option<Opened> opened = streams.get(streamId);
+    if (opened.isEmpty()) {
+      return;
+    }
+    remove(streamId);
+    opened.get().request().cancelIfStarted();
+    wire.accept(new StreamMessage.Cancel(streamId));
+  }
+
+  private void remove(long streamId) {
+    streams = streams.remove(streamId);
+  }
+
+  @Override
+  public void endAll(Failure failure) {
+    Map<Long, Opened> ended = streams;
+    streams = HashMap.empty();
+    ended.values().forEach(opened -> fail(opened, failure));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -0,0 +1,177 @@
+package org.clementinepost.node.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.peer.LinkMessage;
+import org.clementinepost.api.peer.PeerMessage;
+import org.clementinepost.api.peer.StreamMessage;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.kernel.TimerService;
+import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.wire.PeerCodec;
+
+/**
+ * The task of one connection between two nodes; it alone writes to the socket.
+ *
+ * <p>A connection on which nothing arrives for {@link #SILENCE_LIMIT_NANOS} is closed, so that a
+ * frozen or cut-off peer does not hold requests until their deadline.
+ */
+final class PeerConnection implements Behaviour<ConnectionMessage> {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long PING_MILLIS = 500;
+  private static final long SILENCE_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+  private final TaskContext<ConnectionMessage> context;
+  private final PeerCodec codec;
+  private final FrameTransport transport;
+  private final Address<PeerServiceMessage> owner;
+  private final ControlReceiver control;
+  private final StreamRole streams;
+  private final String timerName;
+  private Option<NodeId> peer = Option.none();
+  private long lastHeardNanos;
+  private long pings;
+  private boolean closed;
+
+  private PeerConnection(
+      TaskContext<ConnectionMessage> context,
+      Member self,
+      boolean opener,
+      PeerCodec codec,
+      ControlReceiver control,
+      Function<Address<ConnectionMessage>, FrameTransport> transport) {
+    this.context = context;
+    this.codec = codec;
+    this.control = control;
+    this.owner = context.registry().find(PeerService.NAME);
+    this.transport = transport.apply(context.self());
+    this.streams =
+        opener
+            ? new OpenedStreams(context.self(), this::write)
+            : new ServedStreams(
+                context.self(), this::write, context.registry().find(ExchangeService.NAME));
+    this.lastHeardNanos = context.clock().nowNanos();
+    this.timerName = "peer-connection-" + System.identityHashCode(this);
+    write(new LinkMessage.Hello(self.node(), self.incarnation()));
+    context
+        .registry()
+        .find(TimerService.NAME)
+        .send(
+            new TimerService.Every(
+                timerName,
+                PING_MILLIS,
+                PING_MILLIS,
+                () -> context.self().send(new ConnectionMessage.Tick())));
+  }
+
+  static Function<TaskContext<ConnectionMessage>, Behaviour<ConnectionMessage>> factory(
+      Member self,
+      boolean opener,
+      PeerCodec codec,
+      ControlReceiver control,
+      Function<Address<ConnectionMessage>, FrameTransport> transport) {
+    return context -> new PeerConnection(context, self, opener, codec, control, transport);
+  }
+
+  @Override
+  public void receive(ConnectionMessage message) {
+    if (closed) {
+      refuse(message);
+      return;
+    }
+    if (message instanceof ConnectionMessage.Frame frame) {
+      lastHeardNanos = context.clock().nowNanos();
+      codec.decode(frame.content().bytes()).fold(this::protocolFailure, this::receive);
+      return;
+    }
+    if (message instanceof ConnectionMessage.Disconnected) {
+      end();
+      return;
+    }
+    if (message instanceof ConnectionMessage.Tick) {
+      tick();
+      return;
+    }
+    if (message instanceof ConnectionMessage.Send send) {
+      write(send.message());
+      return;
+    }
+    streams.local(message);
+  }
+
+  /** A request for a connection that has ended was not sent. */
+  private static void refuse(ConnectionMessage message) {
+    if (message instanceof ConnectionMessage.Open open) {
+      open.reply().send(Either.left(Failure.of(ResultCode.PEER_UNREACHABLE)));
+    }
+    if (message instanceof ConnectionMessage.Answered answered) {
+      answered.answer().forEach(answer -> answer.discard());
+    }
+  }
+
+  private Void receive(PeerMessage message) {
+    if (message instanceof StreamMessage stream) {
+      streams.receive(stream);
+      return null;
+    }
+    if (message instanceof LinkMessage.Ping ping) {
+      write(new LinkMessage.Pong(ping.sequence()));
+      return null;
+    }
+    if (message instanceof LinkMessage.Pong) {
+      return null;
+    }
+    if (message instanceof LinkMessage.Hello hello) {
+      peer = Option.some(hello.node());
+      owner.send(new PeerServiceMessage.Greeted(hello.node(), context.self()));
+      return null;
+    }
+    peer.forEach(from -> control.receive(from, message));
+    return null;
+  }
+
+  private Void protocolFailure(Failure failure) {
+    logger.atWarning().log("event=peer-protocol peer=%s detail=%s", peer, failure.detail());
+    end();
+    return null;
+  }
+
+  private void tick() {
+    if (context.clock().nowNanos() - lastHeardNanos > SILENCE_LIMIT_NANOS) {
+      logger.atWarning().log("event=peer-silent peer=%s", peer);
+      end();
+      return;
+    }
+    pings++;
+    write(new LinkMessage.Ping(pings));
+  }
+
+  private void write(PeerMessage message) {
+    transport.send(codec.encode(message));
+  }
+
+  private void end() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    transport.close();
+    context.registry().find(TimerService.NAME).send(new TimerService.Cancel(timerName));
+    streams.endAll(Failure.of(ResultCode.PEER_LOST, peer.map(NodeId::value).getOrElse("")));
+    owner.send(new PeerServiceMessage.Ended(context.self()));
+  }
+
+  @Override
+  public void stop() {
+    end();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerServiceMessage.java
@@ -0,0 +1,49 @@
+package org.clementinepost.node.peer;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Chunk;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.peer.PeerMessage;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Reply;
+import org.clementinepost.node.exchange.Answer;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+
+/** What the peer service is told. */
+public sealed interface PeerServiceMessage {
+  /** Sends a message to a node; it is dropped when the node cannot be reached. */
+  record Send(NodeId to, PeerMessage message) implements PeerServiceMessage {}
+
+  /** Sends a request to a backend server behind another node. */
+  record Exchange(
+      NodeId to,
+      BackendServerId server,
+      RequestHead head,
+      Flux<Chunk> body,
+      Mono<Void> cancelled,
+      Reply<Either<Failure, Answer>> reply)
+      implements PeerServiceMessage {}
+
+  /** The fleet has changed. */
+  record Members(Vector<Member> others) implements PeerServiceMessage {}
+
+  /** Another node has connected. */
+  record Accepted(Connection connection) implements PeerServiceMessage {}
+
+  /** A connection to another node has been made, or has not. */
+  record Dialed(NodeId to, Either<Failure, Connection> connection) implements PeerServiceMessage {}
+
+  /** A connection has learned who is at its other end. */
+  record Greeted(NodeId peer, Address<ConnectionMessage> connection)
+      implements PeerServiceMessage {}
+
+  /** A connection has ended. */
+  record Ended(Address<ConnectionMessage> connection) implements PeerServiceMessage {}
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
@@ -0,0 +1,16 @@
+package org.clementinepost.node.peer;
+
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.peer.StreamMessage;
+
+/** The streams of a connection, seen from one of its two sides. */
+interface StreamRole {
+  /** Takes a message of the other side. */
+  void receive(StreamMessage message);
+
+  /** Takes what the streams' own bodies and exchanges have to tell. */
+  void local(ConnectionMessage message);
+
+  /** Ends every stream. */
+  void endAll(Failure failure);
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/peer/TcpTransport.java
@@ -0,0 +1,65 @@
+package org.clementinepost.node.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import org.clementinepost.api.Chunk;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Delivery;
+import reactor.netty.Connection;
+
+/** Frames over a TCP connection: each is preceded by its length in four bytes. */
+final class TcpTransport implements FrameTransport {
+  private static final int MAX_FRAME_BYTES = 2 << 20;
+  private static final int LENGTH_BYTES = 4;
+
+  private final Connection connection;
+
+  private TcpTransport(Connection connection) {
+    this.connection = connection;
+  }
+
+  /** Adds framing to a connection before anything is read from it. */
+  static void frame(Connection connection) {
+    connection.addHandlerLast(
+        "frame-decoder",
+        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    connection.addHandlerLast("frame-encoder", new LengthFieldPrepender(LENGTH_BYTES));
+  }
+
+  /** Takes over a framed connection and hands its frames to a task. */
+  static TcpTransport attach(Connection connection, Address<ConnectionMessage> task) {
+    connection
+        .inbound()
+        .receive()
+        .map(TcpTransport::copy)
+        .subscribe(frame -> deliver(connection, task, frame), error -> connection.dispose());
+    connection.onDispose(() -> task.send(new ConnectionMessage.Disconnected()));
+    return new TcpTransport(connection);
+  }
+
+  private static Chunk copy(ByteBuf buffer) {
+    byte[] bytes = new byte[buffer.readableBytes()];
+    buffer.readBytes(bytes);
+    return Chunk.owning(bytes);
+  }
+
+  /** A frame that finds no room cannot be left out of a stream, so the connection ends. */
+  private static void deliver(Connection connection, Address<ConnectionMessage> task, Chunk frame) {
+    if (task.send(new ConnectionMessage.Frame(frame)) != Delivery.ACCEPTED) {
+      connection.dispose();
+    }
+  }
+
+  @Override
+  public void send(byte[] frame) {
+    ByteBuf buffer = connection.channel().alloc().buffer(frame.length).writeBytes(frame);
+    // A failed write closes the channel, and the task learns of that.
+    connection.channel().writeAndFlush(buffer, connection.channel().voidPromise());
+  }
+
+  @Override
+  public void close() {
+    connection.dispose();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to the other nodes. */
+package org.clementinepost.node.peer;
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/routing/package-info.java
@@ -0,0 +1,2 @@
+/** The task that chooses backend servers. */
+package org.clementinepost.node.routing;
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The node's settings file. */
+package org.clementinepost.node.settings;
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/Admission.java
@@ -0,0 +1,13 @@
+package org.clementinepost.policy.host;
+
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.NetworkAddress;
+
+/**
+ * Leave to send one request to a backend server.
+ *
+ * @param number tells the admissions of a host apart
+ * @param server the backend server
+ * @param address where it takes requests
+ */
+public record Admission(long number, BackendServerId server, NetworkAddress address) {}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
@@ -0,0 +1,22 @@
+package org.clementinepost.policy.host;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.kernel.Reply;
+
+/** What the host's decision asks for. */
+public sealed interface HostEffect {
+  /** Answers the one who asked to send a request. */
+  record Admitted(
+      BackendServerId server,
+      RequestHead head,
+      Either<Failure, Admission> answer,
+      Reply<Either<Failure, Admission>> reply)
+      implements HostEffect {}
+
+  /** The backend servers that take work have changed. */
+  record Publish(Vector<Announcement> serving) implements HostEffect {}
+}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
@@ -0,0 +1,42 @@
+package org.clementinepost.policy.host;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.kernel.Reply;
+
+/** What the host's decision is told. */
+public sealed interface HostEvent {
+  /** A backend server has announced itself. */
+  record Announced(Announcement announcement, long nowNanos) implements HostEvent {}
+
+  /** A request asks to be sent to a backend server. */
+  record Admit(
+      BackendServerId server,
+      RequestHead head,
+      long nowNanos,
+      Reply<Either<Failure, Admission>> reply)
+      implements HostEvent {}
+
+  /**
+   * An admitted request has ended.
+   *
+   * @param admission its number
+   * @param failure why no whole answer came; none when one came
+   * @param status the HTTP status of the answer, zero without one
+   * @param serverMicros the time that the backend server took
+   * @param nowNanos the time of the end
+   */
+  record Ended(
+      long admission, Option<Failure> failure, int status, long serverMicros, long nowNanos)
+      implements HostEvent {}
+
+  /** Time has passed. */
+  record Tick(long nowNanos) implements HostEvent {}
+
+  /** A configuration has come into force. */
+  record Configured(Snapshot snapshot) implements HostEvent {}
+}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decisions: state and event in, state and effects out; no sockets and no encodings. */
+package org.clementinepost.policy;
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingEvent.java
@@ -0,0 +1,54 @@
+package org.clementinepost.policy.routing;
+
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.kernel.Reply;
+
+/** What the routing decision is told. */
+public sealed interface RoutingEvent {
+  /** The directory's view of a service has changed. */
+  record EndpointsChanged(ServiceId service, Vector<Endpoint> endpoints) implements RoutingEvent {}
+
+  /**
+   * Asks for a backend server for a request.
+   *
+   * @param head the request, at the attempt that is to be placed
+   * @param tried the backend servers that have refused it
+   * @param random one random number for this choice
+   * @param nowNanos the time of the choice
+   * @param reply takes the chosen endpoint
+   */
+  record Place(
+      RequestHead head,
+      Set<BackendServerId> tried,
+      long random,
+      long nowNanos,
+      Reply<Either<Failure, Endpoint>> reply)
+      implements RoutingEvent {}
+
+  /**
+   * Tells how an attempt ended.
+   *
+   * @param endpoint the backend server that was chosen
+   * @param failure why no whole answer came; none when one came
+   * @param status the HTTP status of the answer, zero without one
+   * @param serverMicros the time that the backend server took
+   * @param totalMicros the time that the attempt took as ingress saw it
+   * @param nowNanos the time of the end
+   */
+  record Ended(
+      Endpoint endpoint,
+      Option<Failure> failure,
+      int status,
+      long serverMicros,
+      long totalMicros,
+      long nowNanos)
+      implements RoutingEvent {}
+}
--- /dev/null
+++ b/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
@@ -0,0 +1,139 @@
+package org.clementinepost.wire;
+
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.CustomerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.HeaderField;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.RequestId;
+import org.clementinepost.api.ResponseHead;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.peer.StreamMessage;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** The encoding of the messages that carry requests and answers. */
+final class StreamMessageTypes {
+  private static final int MAX_CHUNK_BYTES = 1 << 20;
+
+  private StreamMessageTypes() {}
+
+  static Vector<MessageType<?>> all() {
+    return Vector.of(
+        new MessageType<>(
+            10, StreamMessage.Open.class, StreamMessageTypes::write, StreamMessageTypes::readOpen),
+        new MessageType<>(
+            11,
+            StreamMessage.Demand.class,
+            (packer, demand) -> packer.packLong(demand.streamId()).packInt(demand.chunks()),
+            unpacker -> new StreamMessage.Demand(unpacker.unpackLong(), unpacker.unpackInt())),
+        new MessageType<>(
+            12,
+            StreamMessage.Answered.class,
+            StreamMessageTypes::write,
+            StreamMessageTypes::readAnswered),
+        new MessageType<>(
+            13,
+            StreamMessage.Data.class,
+            (packer, data) -> Fields.writeChunk(packer.packLong(data.streamId()), data.content()),
+            unpacker ->
+                new StreamMessage.Data(
+                    unpacker.unpackLong(), Fields.readChunk(unpacker, MAX_CHUNK_BYTES))),
+        new MessageType<>(
+            14,
+            StreamMessage.End.class,
+            (packer, end) -> packer.packLong(end.streamId()).packLong(end.totalBytes()),
+            unpacker -> new StreamMessage.End(unpacker.unpackLong(), unpacker.unpackLong())),
+        new MessageType<>(
+            15,
+            StreamMessage.Failed.class,
+            StreamMessageTypes::write,
+            StreamMessageTypes::readFailed),
+        new MessageType<>(
+            16,
+            StreamMessage.Cancel.class,
+            (packer, cancel) -> packer.packLong(cancel.streamId()),
+            unpacker -> new StreamMessage.Cancel(unpacker.unpackLong())));
+  }
+
+  private static void write(MessagePacker packer, StreamMessage.Open open) throws IOException {
+    RequestHead head = open.head();
+    packer.packLong(open.streamId());
+    packer.packString(open.server().value());
+    packer.packString(head.requestId().value());
+    packer.packInt(head.attempt());
+    Fields.writeOption(packer, head.customer(), (p, customer) -> p.packString(customer.value()));
+    packer.packString(head.service().value());
+    packer.packString(head.method());
+    packer.packString(head.uri());
+    Fields.writeAll(packer, head.headers(), StreamMessageTypes::write);
+    packer.packBoolean(head.idempotent());
+    Fields.writeOption(packer, head.idempotencyKey(), MessagePacker::packString);
+    packer.packLong(head.timeoutMillis());
+    packer.packLong(head.bodyBytes());
+  }
+
+  private static StreamMessage.Open readOpen(MessageUnpacker unpacker) throws IOException {
+    long streamId = unpacker.unpackLong();
+    BackendServerId server = new BackendServerId(unpacker.unpackString());
+    RequestHead head =
+        new RequestHead(
+            new RequestId(unpacker.unpackString()),
+            unpacker.unpackInt(),
+            Fields.readOption(unpacker, u -> new CustomerId(u.unpackString())),
+            new ServiceId(unpacker.unpackString()),
+            unpacker.unpackString(),
+            unpacker.unpackString(),
+            Fields.readAll(unpacker, StreamMessageTypes::readHeader),
+            unpacker.unpackBoolean(),
+            Fields.readOption(unpacker, MessageUnpacker::unpackString),
+            unpacker.unpackLong(),
+            unpacker.unpackLong());
+    return new StreamMessage.Open(streamId, server, head);
+  }
+
+  private static void write(MessagePacker packer, StreamMessage.Answered answered)
+      throws IOException {
+    ResponseHead head = answered.head();
+    packer.packLong(answered.streamId());
+    packer.packInt(head.status());
+    Fields.writeAll(packer, head.headers(), StreamMessageTypes::write);
+    packer.packString(head.server().value());
+    packer.packLong(head.serverMicros());
+  }
+
+  private static StreamMessage.Answered readAnswered(MessageUnpacker unpacker) throws IOException {
+    long streamId = unpacker.unpackLong();
+    ResponseHead head =
+        new ResponseHead(
+            unpacker.unpackInt(),
+            Fields.readAll(unpacker, StreamMessageTypes::readHeader),
+            new BackendServerId(unpacker.unpackString()),
+            unpacker.unpackLong());
+    return new StreamMessage.Answered(streamId, head);
+  }
+
+  private static void write(MessagePacker packer, StreamMessage.Failed failed) throws IOException {
+    packer.packLong(failed.streamId());
+    packer.packInt(failed.failure().code().number());
+    packer.packString(failed.failure().detail());
+  }
+
+  private static StreamMessage.Failed readFailed(MessageUnpacker unpacker) throws IOException {
+    long streamId = unpacker.unpackLong();
+    int number = unpacker.unpackInt();
+    ResultCode code = ResultCode.ofNumber(number).orElse(ResultCode.PEER_PROTOCOL);
+    return new StreamMessage.Failed(streamId, Failure.of(code, unpacker.unpackString()));
+  }
+
+  private static void write(MessagePacker packer, HeaderField header) throws IOException {
+    packer.packString(header.name()).packString(header.value());
+  }
+
+  private static HeaderField readHeader(MessageUnpacker unpacker) throws IOException {
+    return new HeaderField(unpacker.unpackString(), unpacker.unpackString());
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/clementinepost/wire/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack encoding of the messages between nodes. */
+package org.clementinepost.wire;
