Reach the platform over HTTP, and stand in for it and for backend servers

The fleet needs the table service and the object store behind its two interfaces, and tests need both to fail on order. Other services reach the platform by its name.

A backend server's stand-in announces itself, drains, starts cold, sheds and fails gray on order, and counts its runs for each request id.

--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/Json.java
@@ -0,0 +1,36 @@
+package org.clementinepost.testing;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import io.vavr.control.Either;
+import io.vavr.control.Try;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+/** Records as JSON documents; a field that a record does not know is an error. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper()
+          .setPropertyNamingStrategy(PropertyNamingStrategies.LOWER_CAMEL_CASE)
+          .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+  private Json() {}
+
+  /** Writes a value on one line. */
+  public static String write(Object value) {
+    try {
+      return MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Reads a value, or says what is wrong with the document. */
+  public static <T> Either<String, T> read(byte[] document, Class<T> type) {
+    return Try.of(() -> MAPPER.readValue(new String(document, StandardCharsets.UTF_8), type))
+        .toEither()
+        .mapLeft(error -> String.valueOf(error.getMessage()));
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/StandInProcess.java
@@ -0,0 +1,54 @@
+package org.clementinepost.testing;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.PrintStream;
+import java.util.function.Function;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.clementinepost.api.ResultCode;
+
+/**
+ * Runs a stand-in as a process of its own.
+ *
+ * <p>It prints one line {@code listening {json}} when it can be reached, and runs until a signal
+ * ends it; the stand-in's {@code close} is waited for, so that it can leave in order.
+ */
+public final class StandInProcess {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private StandInProcess() {}
+
+  /** A stand-in that has been started. */
+  public interface Running extends AutoCloseable {
+    /** What the line {@code listening} tells. */
+    Object listening();
+
+    @Override
+    void close();
+  }
+
+  /** Starts a stand-in from a command line and returns; its sockets keep the process up. */
+  public static void run(
+      String name, Options options, String[] args, Function<CommandLine, Running> start) {
+    try {
+      CommandLine line = new DefaultParser().parse(options, args);
+      Running running = start.apply(line);
+      Runtime.getRuntime().addShutdownHook(new Thread(running::close, name + "-stop"));
+      System.out.println("listening " + Json.write(running.listening()));
+    } catch (ParseException | IllegalArgumentException e) {
+      logger.atSevere().log("event=usage code=%d cause=%s", ResultCode.USAGE.number(), e);
+      printUsage(System.err, name, options);
+      System.exit(ResultCode.USAGE.exitCode());
+    }
+  }
+
+  private static void printUsage(PrintStream out, String name, Options options) {
+    out.println("usage: " + name);
+    options
+        .getOptions()
+        .forEach(
+            option -> out.println("  --" + option.getLongOpt() + "  " + option.getDescription()));
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendFront.java
@@ -0,0 +1,195 @@
+package org.clementinepost.testing.backend;
+
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.clementinepost.api.Failure;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Ask;
+import org.clementinepost.testing.Json;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Translates a backend server's HTTP requests into messages, and its answers back. */
+final class BackendFront {
+  private static final String REQUEST_ID_FIELD = "clementinepost-request-id";
+  private static final String TIMEOUT_FIELD = "clementinepost-timeout-millis";
+  private static final String OUTCOME_FIELD = "clementinepost-outcome";
+  private static final String SERVER_FIELD = "clementinepost-stand-in";
+  private static final String NOT_RUN = "not-run";
+  private static final Pattern DELAY_PARAMETER = Pattern.compile("[?&]delayMillis=(\\d+)");
+  private static final int OK_STATUS = 200;
+  private static final int BAD_REQUEST_STATUS = 400;
+  private static final int SERVICE_UNAVAILABLE_STATUS = 503;
+
+  private final String id;
+  private final Address<BackendMessage> task;
+
+  BackendFront(String id, Address<BackendMessage> task) {
+    this.id = id;
+    this.task = task;
+  }
+
+  Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    return switch (request.fullPath()) {
+      case "/control" -> control(request, response);
+      case "/received" -> received(response);
+      default -> serve(request, response);
+    };
+  }
+
+  private Mono<Void> control(HttpServerRequest request, HttpServerResponse response) {
+    return request
+        .receive()
+        .aggregate()
+        .asByteArray()
+        .map(body -> Json.read(body, HealthOrder.class))
+        .flatMap(
+            read ->
+                read.fold(
+                    problem -> json(response, BAD_REQUEST_STATUS, new Problem(problem)),
+                    order -> obey(response, order)));
+  }
+
+  private Mono<Void> obey(HttpServerResponse response, HealthOrder order) {
+    return Ask.<BackendMessage, HealthOrder>of(
+            task, reply -> new BackendMessage.Control(order, reply))
+        .flatMap(done -> json(response, OK_STATUS, order));
+  }
+
+  private Mono<Void> received(HttpServerResponse response) {
+    return Ask.<BackendMessage, Received>of(task, BackendMessage.ReadReceived::new)
+        .flatMap(read -> json(response, OK_STATUS, ReceivedJson.of(id, read.get())));
+  }
+
+  private Mono<Void> serve(HttpServerRequest request, HttpServerResponse response) {
+    return Ask.<BackendMessage, Admission>of(task, reply -> begin(request, reply))
+        .flatMap(admitted -> admitted.fold(f -> shed(response), a -> meet(a, request, response)));
+  }
+
+  private static BackendMessage begin(
+      HttpServerRequest request,
+      org.clementinepost.kernel.Reply<Either<Failure, Admission>> reply) {
+    Matcher delay = DELAY_PARAMETER.matcher(request.uri());
+    return new BackendMessage.Begin(
+        request.requestHeaders().get(REQUEST_ID_FIELD, ""),
+        request.requestHeaders().contains("Authorization"),
+        Long.parseLong(request.requestHeaders().get(TIMEOUT_FIELD, "0")),
+        delay.find() ? Option.some(Long.parseLong(delay.group(1))) : Option.none(),
+        reply);
+  }
+
+  private Mono<Void> meet(
+      Admission admission, HttpServerRequest request, HttpServerResponse response) {
+    if (admission instanceof Admission.Shed) {
+      return shed(response);
+    }
+    Mono<Void> work =
+        admission instanceof Admission.Run run
+            ? Mono.delay(Duration.ofMillis(run.delayMillis())).then(answer(run, request, response))
+            : Mono.never();
+    return Mono.usingWhen(
+        Mono.just(admission),
+        taken -> Mono.firstWithSignal(work, disconnected(request)),
+        taken -> ended(false),
+        (taken, error) -> ended(true),
+        taken -> ended(true));
+  }
+
+  private Mono<Void> ended(boolean cancelled) {
+    return Mono.fromRunnable(() -> task.send(new BackendMessage.End(cancelled)));
+  }
+
+  private static Mono<Void> disconnected(HttpServerRequest request) {
+    return Mono.create(
+        sink ->
+            request.withConnection(
+                connection ->
+                    sink.onDispose(
+                        connection
+                            .onDispose()
+                            .subscribe(
+                                closed -> {},
+                                sink::error,
+                                () -> sink.error(new DisconnectedException())))));
+  }
+
+  private Mono<Void> shed(HttpServerResponse response) {
+    response.header(OUTCOME_FIELD, NOT_RUN);
+    return json(response, SERVICE_UNAVAILABLE_STATUS, new Problem("shed"));
+  }
+
+  private Mono<Void> answer(
+      Admission.Run run, HttpServerRequest request, HttpServerResponse response) {
+    response.header(SERVER_FIELD, id);
+    if (run.status() == OK_STATUS && request.fullPath().equals("/echo")) {
+      return echo(request, response);
+    }
+    return request
+        .receive()
+        .asByteArray()
+        .reduce(0L, (bytes, chunk) -> bytes + chunk.length)
+        .flatMap(bytes -> json(response, run.status(), described(run, request, bytes)));
+  }
+
+  private static Mono<Void> echo(HttpServerRequest request, HttpServerResponse response) {
+    String length = request.requestHeaders().get("Content-Length");
+    if (length != null) {
+      response.header("Content-Length", length);
+    }
+    Flux<byte[]> body = request.receive().asByteArray();
+    return response.status(OK_STATUS).sendByteArray(body).then();
+  }
+
+  private Described described(Admission.Run run, HttpServerRequest request, long bodyBytes) {
+    Map<String, String> headers =
+        LinkedHashMap.ofAll(
+            request.requestHeaders().entries().stream(),
+            java.util.Map.Entry::getKey,
+            java.util.Map.Entry::getValue);
+    return new Described(
+        request.method().name(),
+        request.uri(),
+        headers.toJavaMap(),
+        bodyBytes,
+        id,
+        run.totalRuns());
+  }
+
+  private static Mono<Void> json(HttpServerResponse response, int status, Object value) {
+    byte[] body = Json.write(value).getBytes(StandardCharsets.UTF_8);
+    return response
+        .status(status)
+        .header("Content-Type", "application/json")
+        .header("Content-Length", Integer.toString(body.length))
+        .sendByteArray(Mono.just(body))
+        .then();
+  }
+
+  private record Problem(String problem) {}
+
+  private record Described(
+      String method,
+      String path,
+      java.util.Map<String, String> headers,
+      long bodyBytes,
+      String server,
+      long runCount) {}
+
+  /** Says that the caller's connection closed before the answer. */
+  private static final class DisconnectedException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    DisconnectedException() {
+      super("the connection closed before the answer", null, false, false);
+    }
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendMessage.java
@@ -0,0 +1,47 @@
+package org.clementinepost.testing.backend;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.clementinepost.api.Failure;
+import org.clementinepost.kernel.Reply;
+
+/** What the task of a backend server is told. */
+sealed interface BackendMessage {
+  /**
+   * A request has come.
+   *
+   * @param requestId the caller's request; empty when it carries none
+   * @param authorization whether it carries a header field Authorization
+   * @param timeoutMillis the time until its deadline; zero for none
+   * @param latencyMillis how long this request asks to take; none for the usual time
+   */
+  record Begin(
+      String requestId,
+      boolean authorization,
+      long timeoutMillis,
+      Option<Long> latencyMillis,
+      Reply<Either<Failure, Admission>> reply)
+      implements BackendMessage {}
+
+  /** A request that took a slot has ended. */
+  record End(boolean cancelled) implements BackendMessage {}
+
+  /** The number of open connections has changed. */
+  record Connections(int change) implements BackendMessage {}
+
+  /** An order on how to behave. */
+  record Control(HealthOrder order, Reply<Either<Failure, HealthOrder>> reply)
+      implements BackendMessage {}
+
+  /** Asks what has been received. */
+  record ReadReceived(Reply<Either<Failure, Received>> reply) implements BackendMessage {}
+
+  /** It is time to announce. */
+  record Announce() implements BackendMessage {}
+
+  /** Announces to drain, and answers when no request runs any more. */
+  record Drain(Reply<Either<Failure, Lifecycle>> reply) implements BackendMessage {}
+
+  /** Announces to be gone, and answers when the node has been told. */
+  record Leave(Reply<Either<Failure, Lifecycle>> reply) implements BackendMessage {}
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendServerStandIn.java
@@ -0,0 +1,124 @@
+package org.clementinepost.testing.backend;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Ask;
+import org.clementinepost.kernel.Kernel;
+import org.clementinepost.testing.StandInProcess;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/**
+ * A backend server that announces itself, drains, starts cold, sheds load and fails gray.
+ *
+ * <p>One task owns its state; the HTTP side translates and holds nothing.
+ */
+public final class BackendServerStandIn implements StandInProcess.Running {
+  private static final int STAND_IN_THREADS = 2;
+  private static final Duration BIND_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration MAX_DRAIN_TIME = Duration.ofSeconds(60);
+
+  private final BackendSettings settings;
+  private final Scheduler scheduler;
+  private final Sinks.One<Kernel> started = Sinks.one();
+  private final DisposableServer server;
+  private final Kernel kernel;
+  private final Address<BackendMessage> task;
+
+  private BackendServerStandIn(BackendSettings settings) {
+    this.settings = settings;
+    scheduler = Schedulers.newParallel(settings.id(), STAND_IN_THREADS);
+    server =
+        HttpServer.create()
+            .host(settings.host())
+            .port(settings.port())
+            .doOnConnection(this::count)
+            .handle(
+                (request, response) ->
+                    started.asMono().flatMap(k -> Mono.from(front(k).handle(request, response))))
+            .bindNow(BIND_TIMEOUT);
+    kernel =
+        Kernel.builder()
+            .scheduler(scheduler)
+            .service(BackendService.definition(settings, address()))
+            .start();
+    task = kernel.find(BackendService.NAME);
+    started.tryEmitValue(kernel).orThrow();
+  }
+
+  /** Starts a backend server. */
+  public static BackendServerStandIn start(BackendSettings settings) {
+    return new BackendServerStandIn(settings);
+  }
+
+  private BackendFront front(Kernel running) {
+    return new BackendFront(settings.id(), running.find(BackendService.NAME));
+  }
+
+  private void count(Connection connection) {
+    started.asMono().subscribe(running -> count(connection, running.find(BackendService.NAME)));
+  }
+
+  private static void count(Connection connection, Address<BackendMessage> counter) {
+    counter.send(new BackendMessage.Connections(1));
+    connection.onDispose(() -> counter.send(new BackendMessage.Connections(-1)));
+  }
+
+  /** Where it listens. */
+  public NetworkAddress address() {
+    return NetworkAddress.parse(server.host() + ":" + server.port());
+  }
+
+  /** Its root. */
+  public String url() {
+    return "http://" + address();
+  }
+
+  /** Orders how to behave; the order is in force once the answer comes. */
+  public Mono<Either<Failure, HealthOrder>> control(HealthOrder order) {
+    return Ask.of(task, reply -> new BackendMessage.Control(order, reply));
+  }
+
+  /** What it has seen so far. */
+  public Mono<Either<Failure, Received>> received() {
+    return Ask.of(task, BackendMessage.ReadReceived::new);
+  }
+
+  /** Announces to drain; answers when no request runs and the drain time is over. */
+  public Mono<Either<Failure, Lifecycle>> drain() {
+    Mono<Either<Failure, Lifecycle>> idle = Ask.of(task, BackendMessage.Drain::new);
+    return Mono.delay(Duration.ofMillis(settings.drainMillis()))
+        .zipWith(idle, (waited, drained) -> drained);
+  }
+
+  @Override
+  public Object listening() {
+    return new Listening(
+        "backend-server", settings.id(), settings.service(), settings.domain(), url());
+  }
+
+  private record Listening(String role, String id, String service, String domain, String url) {}
+
+  /** Leaves in order: drains, tells the node that it is gone, and stops. */
+  @Override
+  public void close() {
+    Mono<Either<Failure, Lifecycle>> gone = Ask.of(task, BackendMessage.Leave::new);
+    drain().then(gone).onErrorComplete().block(MAX_DRAIN_TIME);
+    kill();
+  }
+
+  /** Stops at once, without a word to the node. */
+  public void kill() {
+    kernel.dispose();
+    server.disposeNow(BIND_TIMEOUT);
+    scheduler.dispose();
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendService.java
@@ -0,0 +1,73 @@
+package org.clementinepost.testing.backend;
+
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.MonotonicClock;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.kernel.TimerService;
+
+/** The task that owns a backend server's state and its connection to the node. */
+final class BackendService {
+  static final ServiceName<BackendMessage> NAME =
+      ServiceName.of("backend-server", BackendMessage.class);
+
+  private static final String ANNOUNCE_TIMER = "announce";
+
+  private BackendService() {}
+
+  static ServiceDefinition<BackendMessage> definition(
+      BackendSettings settings, NetworkAddress address) {
+    return new ServiceDefinition<>(
+        NAME,
+        ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES,
+        context -> start(settings, address, context));
+  }
+
+  private static Behaviour<BackendMessage> start(
+      BackendSettings settings, NetworkAddress address, TaskContext<BackendMessage> context) {
+    Announcer announcer = new Announcer(settings, address);
+    settings.announceUrl().forEach(url -> subscribe(settings, context));
+    MonotonicClock clock = context.clock();
+    Behaviour<BackendMessage> deciding =
+        Behaviour.deciding(
+            BackendState.started(clock.nowMillis(), settings.coldStartMillis()),
+            message ->
+                new BackendDecision.Event(
+                    message, clock.nowMillis(), context.random().nextDouble()),
+            new BackendDecision(settings),
+            effect -> carryOut(announcer, effect));
+    return new Stopping(deciding, announcer);
+  }
+
+  private static void subscribe(BackendSettings settings, TaskContext<BackendMessage> context) {
+    Runnable tick = () -> context.self().send(new BackendMessage.Announce());
+    context
+        .registry()
+        .find(TimerService.NAME)
+        .send(new TimerService.Every(ANNOUNCE_TIMER, 0, settings.announcePeriodMillis(), tick));
+  }
+
+  private static void carryOut(Announcer announcer, BackendEffect effect) {
+    if (effect instanceof BackendEffect.Answer<?> answer) {
+      answer.send();
+    }
+    if (effect instanceof BackendEffect.Tell tell) {
+      announcer.tell(tell);
+    }
+  }
+
+  private record Stopping(Behaviour<BackendMessage> deciding, Announcer announcer)
+      implements Behaviour<BackendMessage> {
+    @Override
+    public void receive(BackendMessage message) {
+      deciding.receive(message);
+    }
+
+    @Override
+    public void stop() {
+      announcer.dispose();
+    }
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/backend/HealthOrder.java
@@ -0,0 +1,32 @@
+package org.clementinepost.testing.backend;
+
+import java.util.Objects;
+
+/**
+ * An order on how to behave, and the body of {@code POST /control}.
+ *
+ * @param mode how to behave
+ * @param latencyFactor how many times slower to answer when slow; zero for no factor
+ * @param addedMillis how much later to answer when slow
+ * @param fraction the part of requests that is met; zero for all
+ */
+public record HealthOrder(
+    HealthMode mode, double latencyFactor, long addedMillis, double fraction) {
+  public HealthOrder {
+    Objects.requireNonNull(mode, "mode");
+  }
+
+  /** An order that meets every request. */
+  public static HealthOrder of(HealthMode mode) {
+    return new HealthOrder(mode, 0, 0, 0);
+  }
+
+  boolean meets(double draw) {
+    return fraction <= 0 || draw < fraction;
+  }
+
+  long latencyMillis(long usualMillis) {
+    double factor = latencyFactor > 0 ? latencyFactor : 1;
+    return Math.round(usualMillis * factor) + addedMillis;
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/backend/ReceivedJson.java
@@ -0,0 +1,33 @@
+package org.clementinepost.testing.backend;
+
+import java.util.Map;
+
+/** The answer to {@code GET /received}. */
+record ReceivedJson(
+    String id,
+    Map<String, Integer> runs,
+    long totalRuns,
+    long shed,
+    long coldShed,
+    long cancelled,
+    long deadlinesPassed,
+    long runsWhileDraining,
+    int maxConcurrency,
+    int maxConnections,
+    boolean authorizationSeen) {
+
+  static ReceivedJson of(String id, Received received) {
+    return new ReceivedJson(
+        id,
+        received.runsById().toJavaMap(),
+        received.totalRuns(),
+        received.shed(),
+        received.coldShed(),
+        received.cancelled(),
+        received.deadlinesPassed(),
+        received.runsWhileDraining(),
+        received.maxConcurrency(),
+        received.maxConnections(),
+        received.authorizationSeen());
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/platform/PlatformStandIn.java
@@ -0,0 +1,223 @@
+package org.clementinepost.testing.platform;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Ask;
+import org.clementinepost.kernel.Kernel;
+import org.clementinepost.platform.InMemoryPlatform;
+import org.clementinepost.platform.Platform;
+import org.clementinepost.platform.PlatformService;
+import org.clementinepost.platform.protocol.TableRequestCodec;
+import org.clementinepost.testing.Json;
+import org.clementinepost.testing.StandInProcess;
+import org.reactivestreams.Publisher;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Serves both halves of the platform on one port, and injects faults.
+ *
+ * <p>A kernel holds its two tasks: the platform, which owns all that is stored, and the faults. The
+ * HTTP side translates and holds nothing.
+ */
+public final class PlatformStandIn implements StandInProcess.Running {
+  private static final int MAX_PAGE_ITEMS = 100;
+  private static final int STAND_IN_THREADS = 2;
+  private static final int OK_STATUS = 200;
+  private static final int BAD_REQUEST_STATUS = 400;
+  private static final Duration BIND_TIMEOUT = Duration.ofSeconds(10);
+  private static final byte[] NO_BODY = {};
+
+  private final Scheduler scheduler = Schedulers.newParallel("platform-stand-in", STAND_IN_THREADS);
+  private final Kernel kernel;
+  private final TableEndpoint table;
+  private final ObjectEndpoint objects;
+  private final DisposableServer server;
+
+  private PlatformStandIn(String host, int port, int maxPageItems) {
+    kernel =
+        Kernel.builder()
+            .scheduler(scheduler)
+            .service(PlatformService.definition(InMemoryPlatform.create()))
+            .service(FaultService.definition())
+            .start();
+    Platform platform = PlatformService.platformOf(kernel);
+    table = new TableEndpoint(platform.table(), maxPageItems);
+    objects = new ObjectEndpoint(platform.objects());
+    server =
+        HttpServer.create()
+            .host(host)
+            .port(port)
+            .route(
+                routes ->
+                    routes
+                        .post("/", this::table)
+                        .post("/control", this::control)
+                        .get("/{bucket}/**", this::getObject)
+                        .put("/{bucket}/**", this::putObject))
+            .bindNow(BIND_TIMEOUT);
+  }
+
+  /** Starts on a free port of the loopback interface. */
+  public static PlatformStandIn start() {
+    return start("127.0.0.1", 0);
+  }
+
+  /** Starts on a port; zero takes a free one. */
+  public static PlatformStandIn start(String host, int port) {
+    return new PlatformStandIn(host, port, MAX_PAGE_ITEMS);
+  }
+
+  static PlatformStandIn startWithPagesOf(int maxPageItems) {
+    return new PlatformStandIn("127.0.0.1", 0, maxPageItems);
+  }
+
+  /** Where it listens. */
+  public NetworkAddress address() {
+    return NetworkAddress.parse(server.host() + ":" + server.port());
+  }
+
+  /** The root of both halves. */
+  public String url() {
+    return "http://" + address();
+  }
+
+  /** The platform behind the server, without its faults. */
+  public Platform contents() {
+    return PlatformService.platformOf(kernel);
+  }
+
+  /** Orders a fault; it is in force once the answer comes. */
+  public Mono<Either<Failure, Fault>> inject(Fault fault) {
+    return Ask.of(kernel.find(FaultService.NAME), reply -> new FaultService.Inject(fault, reply));
+  }
+
+  @Override
+  public Object listening() {
+    return new Listening("platform", url(), url(), url() + "/control");
+  }
+
+  private record Listening(String role, String tableUrl, String objectsUrl, String controlUrl) {}
+
+  private Publisher<Void> control(HttpServerRequest request, HttpServerResponse response) {
+    return body(request)
+        .map(bytes -> Json.read(bytes, Fault.class))
+        .flatMap(read -> read.fold(this::badControl, this::goodControl))
+        .flatMap(answer -> write(response, answer));
+  }
+
+  private Mono<StandInAnswer> badControl(String problem) {
+    return Mono.just(json(BAD_REQUEST_STATUS, new Problem(problem)));
+  }
+
+  private Mono<StandInAnswer> goodControl(Fault fault) {
+    return inject(fault).map(done -> json(OK_STATUS, fault));
+  }
+
+  private record Problem(String problem) {}
+
+  private static StandInAnswer json(int status, Object value) {
+    return new StandInAnswer(
+        status, "application/json", Json.write(value).getBytes(StandardCharsets.UTF_8));
+  }
+
+  private Publisher<Void> table(HttpServerRequest request, HttpServerResponse response) {
+    String target = request.requestHeaders().get("X-Amz-Target", "");
+    String operation = target.replace(TableRequestCodec.TARGET_PREFIX, "");
+    OperationKind kind =
+        operation.equals("TransactWriteItems")
+            ? OperationKind.TABLE_WRITE
+            : OperationKind.TABLE_READ;
+    Mono<StandInAnswer> answer =
+        body(request)
+            .map(bytes -> TableRequestCodec.decode(operation, bytes))
+            .flatMap(
+                decoded ->
+                    decoded.fold(
+                        failure -> Mono.just(StandInAnswer.tableError(failure)), table::answer));
+    return underFault(kind, request, response, answer, StandInAnswer.tableError(throttled()));
+  }
+
+  private Publisher<Void> getObject(HttpServerRequest request, HttpServerResponse response) {
+    return underFault(
+        OperationKind.OBJECT_READ,
+        request,
+        response,
+        Mono.defer(() -> objects.get(request.path())),
+        StandInAnswer.objectError(throttled()));
+  }
+
+  private Publisher<Void> putObject(HttpServerRequest request, HttpServerResponse response) {
+    boolean ifAbsent = request.requestHeaders().contains("If-None-Match", "*", false);
+    return underFault(
+        OperationKind.OBJECT_WRITE,
+        request,
+        response,
+        body(request).flatMap(content -> objects.put(request.path(), content, ifAbsent)),
+        StandInAnswer.objectError(throttled()));
+  }
+
+  private static Failure throttled() {
+    return Failure.of(ResultCode.PLATFORM_THROTTLED, "by order");
+  }
+
+  private Mono<Void> underFault(
+      OperationKind kind,
+      HttpServerRequest request,
+      HttpServerResponse response,
+      Mono<StandInAnswer> answer,
+      StandInAnswer throttle) {
+    Mono<Void> cut = Mono.fromRunnable(() -> request.withConnection(Disposable::dispose));
+    return meet(kind)
+        .flatMap(
+            fault ->
+                switch (fault.mode()) {
+                  case NONE -> answer.flatMap(content -> write(response, content));
+                  case REFUSE -> cut;
+                  case HANG -> Mono.never();
+                  case LOSE_REPLIES -> answer.then(cut);
+                  case SLOW ->
+                      Mono.delay(Duration.ofMillis(fault.delayMillis()))
+                          .then(answer)
+                          .flatMap(content -> write(response, content));
+                  case THROTTLE -> body(request).then(write(response, throttle));
+                });
+  }
+
+  private Mono<Fault> meet(OperationKind kind) {
+    return Ask.<FaultService.Message, Fault>of(
+            kernel.find(FaultService.NAME), reply -> new FaultService.Meet(kind, reply))
+        .map(met -> met.getOrElse(Fault.of(FaultMode.NONE)));
+  }
+
+  private static Mono<byte[]> body(HttpServerRequest request) {
+    return request.receive().aggregate().asByteArray().defaultIfEmpty(NO_BODY);
+  }
+
+  private static Mono<Void> write(HttpServerResponse response, StandInAnswer answer) {
+    return response
+        .status(answer.status())
+        .header("Content-Type", answer.contentType())
+        .header("Content-Length", Integer.toString(answer.body().length))
+        .sendByteArray(Mono.just(answer.body()))
+        .then();
+  }
+
+  /** Stops at once; what was stored is gone. */
+  @Override
+  public void close() {
+    server.disposeNow(BIND_TIMEOUT);
+    kernel.dispose();
+    scheduler.dispose();
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/platform/StandInAnswer.java
@@ -0,0 +1,62 @@
+package org.clementinepost.testing.platform;
+
+import java.nio.charset.StandardCharsets;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.platform.protocol.TableErrorCodec;
+
+/** An answer of the stand-in, apart from the HTTP library. */
+@SuppressWarnings("ArrayRecordComponent") // The bytes go straight to the socket.
+record StandInAnswer(int status, String contentType, byte[] body) {
+  private static final String TABLE_TYPE = "application/x-amz-json-1.0";
+  private static final String OBJECT_TYPE = "application/octet-stream";
+  private static final String ERROR_TYPE = "application/xml";
+  private static final int OK_STATUS = 200;
+  private static final int BAD_REQUEST_STATUS = 400;
+  private static final int NOT_FOUND_STATUS = 404;
+  private static final int PRECONDITION_FAILED_STATUS = 412;
+  private static final int SERVICE_UNAVAILABLE_STATUS = 503;
+  private static final int SERVER_ERROR_STATUS = 500;
+  private static final byte[] NO_BODY = {};
+
+  static StandInAnswer table(byte[] body) {
+    return new StandInAnswer(OK_STATUS, TABLE_TYPE, body);
+  }
+
+  static StandInAnswer tableError(Failure failure) {
+    int status =
+        failure.code() == ResultCode.PLATFORM_UNAVAILABLE
+            ? SERVER_ERROR_STATUS
+            : BAD_REQUEST_STATUS;
+    return new StandInAnswer(status, TABLE_TYPE, TableErrorCodec.encode(failure));
+  }
+
+  static StandInAnswer object(byte[] content) {
+    return new StandInAnswer(OK_STATUS, OBJECT_TYPE, content);
+  }
+
+  static StandInAnswer objectWritten() {
+    return object(NO_BODY);
+  }
+
+  static StandInAnswer objectMissing() {
+    return objectError(NOT_FOUND_STATUS, "NoSuchKey");
+  }
+
+  static StandInAnswer objectPresent() {
+    return objectError(PRECONDITION_FAILED_STATUS, "PreconditionFailed");
+  }
+
+  static StandInAnswer objectError(Failure failure) {
+    return switch (failure.code()) {
+      case PLATFORM_CONDITION_FAILED -> objectPresent();
+      case PLATFORM_THROTTLED -> objectError(SERVICE_UNAVAILABLE_STATUS, "SlowDown");
+      default -> objectError(SERVER_ERROR_STATUS, "InternalError");
+    };
+  }
+
+  private static StandInAnswer objectError(int status, String code) {
+    String text = "<Error><Code>" + code + "</Code></Error>";
+    return new StandInAnswer(status, ERROR_TYPE, text.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/platform/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in server of the platform that injects faults. */
+package org.clementinepost.testing.platform;
--- /dev/null
+++ b/testing/src/test/java/org/clementinepost/testing/platform/PlatformStandInTest.java
@@ -0,0 +1,179 @@
+package org.clementinepost.testing.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.List;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Kernel;
+import org.clementinepost.platform.HttpPlatform;
+import org.clementinepost.platform.Item;
+import org.clementinepost.platform.ItemCondition;
+import org.clementinepost.platform.ItemKey;
+import org.clementinepost.platform.ItemWrite;
+import org.clementinepost.platform.ObjectStore;
+import org.clementinepost.platform.Platform;
+import org.clementinepost.platform.PlatformService;
+import org.clementinepost.platform.PlatformSettings;
+import org.clementinepost.platform.TableService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+
+/** The HTTP clients against the stand-in, which puts both under test. */
+final class PlatformStandInTest {
+  private static final int PAGE_ITEMS = 2;
+  private static final long TIMEOUT_MILLIS = 400;
+  private static final Duration MAX_WAIT = Duration.ofSeconds(20);
+  private static final ItemKey HEAD = new ItemKey("config", "head");
+
+  private final PlatformStandIn standIn = PlatformStandIn.startWithPagesOf(PAGE_ITEMS);
+  private final PlatformSettings settings =
+      PlatformSettings.builder().url(standIn.url()).requestTimeoutMillis(TIMEOUT_MILLIS).build();
+  private final HttpPlatform client = HttpPlatform.of(settings);
+  private final TableService table = client.platform().table();
+  private final ObjectStore objects = client.platform().objects();
+
+  @AfterEach
+  void stop() {
+    client.dispose();
+    standIn.close();
+  }
+
+  private static <T> T await(Mono<T> mono) {
+    return mono.block(MAX_WAIT);
+  }
+
+  private static ResultCode code(Mono<? extends Either<Failure, ?>> failed) {
+    return await(failed).getLeft().code();
+  }
+
+  private static ItemWrite put(ItemKey key, ItemCondition condition, long version) {
+    return new ItemWrite(key, condition, Option.some(new Item(key, version, "{\"é\":1}")));
+  }
+
+  private Mono<Either<Failure, Vector<ItemWrite>>> write(ItemCondition condition, long version) {
+    return table.write(Vector.of(put(HEAD, condition, version)));
+  }
+
+  private void inject(Fault fault) {
+    assertThat(await(standIn.inject(fault)).isRight()).isTrue();
+  }
+
+  @Test
+  void readsWhatWasWritten() {
+    assertThat(await(table.get(HEAD)).get()).isEqualTo(Option.none());
+    assertThat(await(write(new ItemCondition.Absent(), 1)).get()).hasSize(1);
+    assertThat(await(table.get(HEAD)).get().get()).isEqualTo(new Item(HEAD, 1, "{\"é\":1}"));
+  }
+
+  @Test
+  void refusesAWriteWhoseConditionFails() {
+    await(write(new ItemCondition.Absent(), 1));
+
+    assertThat(code(write(new ItemCondition.Absent(), 1)))
+        .isEqualTo(ResultCode.PLATFORM_CONDITION_FAILED);
+    assertThat(code(write(new ItemCondition.AtVersion(4), 5)))
+        .isEqualTo(ResultCode.PLATFORM_CONDITION_FAILED);
+    assertThat(await(write(new ItemCondition.AtVersion(1), 2)).isRight()).isTrue();
+  }
+
+  @Test
+  void refusesATransactionThatIsTooLarge() {
+    Vector<ItemWrite> writes =
+        Vector.range(0, 101)
+            .map(i -> put(new ItemKey("p", "s" + i), new ItemCondition.Always(), 1));
+
+    assertThat(code(table.write(writes))).isEqualTo(ResultCode.PLATFORM_PROTOCOL);
+  }
+
+  @Test
+  void followsThePagesOfAQuery() {
+    Vector<ItemWrite> writes =
+        Vector.range(0, 7).map(i -> put(new ItemKey("p", "s" + i), new ItemCondition.Always(), 1));
+    await(table.write(writes));
+
+    assertThat(await(table.query("p", Option.some("s0"), 5)).get().map(item -> item.key().sort()))
+        .containsExactly("s1", "s2", "s3", "s4", "s5");
+    assertThat(await(table.query("p", Option.none(), 100)).get()).hasSize(7);
+  }
+
+  @Test
+  void keepsObjects() {
+    byte[] content = new byte[300_000];
+    assertThat(await(objects.get("snapshots/1 a")).get()).isEqualTo(Option.none());
+    assertThat(await(objects.put("snapshots/1 a", content)).get()).isEqualTo("snapshots/1 a");
+    assertThat(await(objects.get("snapshots/1 a")).get().get()).isEqualTo(content);
+    assertThat(await(objects.put("snapshots/1 a", content)).isRight()).isTrue();
+    assertThat(code(objects.put("snapshots/1 a", new byte[1])))
+        .isEqualTo(ResultCode.PLATFORM_CONDITION_FAILED);
+  }
+
+  @Test
+  void lostReplyIsUnavailableAndTheWriteStands() {
+    inject(Fault.next(FaultMode.LOSE_REPLIES, 1, OperationKind.TABLE_WRITE));
+
+    assertThat(code(write(new ItemCondition.Absent(), 1)))
+        .isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+    assertThat(await(table.get(HEAD)).get().get().version()).isEqualTo(1);
+  }
+
+  @Test
+  void refusalAndHangAreUnavailableAndNothingIsWritten() {
+    inject(Fault.next(FaultMode.REFUSE, 1));
+    assertThat(code(write(new ItemCondition.Absent(), 1)))
+        .isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+    inject(Fault.next(FaultMode.HANG, 1));
+    assertThat(code(write(new ItemCondition.Absent(), 1)))
+        .isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+    assertThat(await(table.get(HEAD)).get()).isEqualTo(Option.none());
+  }
+
+  @Test
+  void throttleIsToldApart() {
+    inject(Fault.next(FaultMode.THROTTLE, 2));
+
+    assertThat(code(write(new ItemCondition.Absent(), 1))).isEqualTo(ResultCode.PLATFORM_THROTTLED);
+    assertThat(code(objects.get("a"))).isEqualTo(ResultCode.PLATFORM_THROTTLED);
+    assertThat(await(objects.get("a")).isRight()).isTrue();
+  }
+
+  @Test
+  void slowBeyondTheTimeoutIsUnavailable() {
+    inject(new Fault(FaultMode.SLOW, 20 * TIMEOUT_MILLIS, 1, List.of()));
+    assertThat(code(table.get(HEAD))).isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+    inject(new Fault(FaultMode.SLOW, 1, 1, List.of()));
+    assertThat(await(table.get(HEAD)).isRight()).isTrue();
+  }
+
+  @Test
+  void absentPlatformIsUnavailable() {
+    standIn.close();
+
+    assertThat(code(table.get(HEAD))).isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+    assertThat(code(objects.get("a"))).isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
+  }
+
+  @Test
+  void isReachedByNameThroughTheKernel() {
+    Kernel kernel =
+        Kernel.builder()
+            .scheduler(Schedulers.parallel())
+            .service(PlatformService.definition(settings))
+            .start();
+    Platform byName = PlatformService.platformOf(kernel);
+
+    assertThat(await(byName.objects().put("a", new byte[] {1})).get()).isEqualTo("a");
+    assertThat(await(byName.objects().get("a")).get().get()).containsExactly(1);
+    assertThat(await(byName.table().write(Vector.of(put(HEAD, new ItemCondition.Absent(), 1)))))
+        .isNotNull();
+    assertThat(await(byName.table().query("config", Option.none(), 9)).get()).hasSize(1);
+    kernel.dispose();
+    assertThat(code(byName.table().get(HEAD))).isEqualTo(ResultCode.NODE_STOPPING);
+  }
+}
