Run the thin path as separate processes

One request through any of three nodes, with stand-ins of the platform and of the backend servers as processes of their own.

--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.clementinepost.ctl;
--- a/kernel/src/main/java/org/clementinepost/kernel/Results.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Results.java
@@ -12,7 +12,6 @@
   /** Takes the next step with the value of the one before, or passes its failure on. */
   public static <A, B> Mono<Either<Failure, B>> then(
       Mono<Either<Failure, A>> first, Function<A, Mono<Either<Failure, B>>> next) {
-    return first.flatMap(
-        result -> result.fold(failure -> Mono.just(Either.left(failure)), next));
+    return first.flatMap(result -> result.fold(failure -> Mono.just(Either.left(failure)), next));
   }
 }
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -7,6 +7,7 @@
 import org.clementinepost.api.peer.PeerMessage;
 import org.clementinepost.kernel.Kernel;
 import org.clementinepost.kernel.Registry;
+import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.node.access.AccessService;
 import org.clementinepost.node.announce.AnnounceMessage;
 import org.clementinepost.node.announce.AnnounceService;
@@ -23,7 +24,7 @@
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.node.settings.NodeSettings;
-import org.clementinepost.platform.Platform;
+import org.clementinepost.platform.PlatformService;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -42,7 +43,10 @@
   }
 
   /** Starts a node. */
-  public static Node start(NodeSettings settings, Platform platform, long incarnation) {
+  public static Node start(
+      NodeSettings settings,
+      ServiceDefinition<PlatformService.Message> platform,
+      long incarnation) {
     PeerListener listener =
         PeerListener.open(
             settings.peer(),
@@ -54,8 +58,9 @@
         Kernel.builder()
             .scheduler(scheduler)
             .seed(incarnation)
-            .service(ConfigurationService.definition(platform))
-            .service(MembershipService.definition(self, platform))
+            .service(platform)
+            .service(ConfigurationService.definition())
+            .service(MembershipService.definition(self))
             .service(RoutingService.definition())
             .service(DirectoryService.definition(self))
             .service(HostService.definition(self))
--- a/node/src/main/java/org/clementinepost/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/ConfigurationService.java
@@ -11,7 +11,7 @@
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
-import org.clementinepost.platform.Platform;
+import org.clementinepost.platform.PlatformService;
 import org.clementinepost.platform.config.ConfigurationStore;
 
 /** Keeps the newest configuration that this node has seen, and tells the other services. */
@@ -44,11 +44,13 @@
   }
 
   /** Defines the service. */
-  public static ServiceDefinition<ConfigurationMessage> definition(Platform platform) {
+  public static ServiceDefinition<ConfigurationMessage> definition() {
     return new ServiceDefinition<>(
         NAME,
         ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
-        context -> new ConfigurationService(context, new ConfigurationStore(platform)));
+        context ->
+            new ConfigurationService(
+                context, new ConfigurationStore(PlatformService.platformOf(context.registry()))));
   }
 
   @Override
--- a/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
+++ b/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
@@ -12,6 +12,7 @@
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
 import org.clementinepost.platform.Platform;
+import org.clementinepost.platform.PlatformService;
 
 /** Registers the node in the table and learns there of the others. */
 public final class MembershipService implements Behaviour<MembershipMessage> {
@@ -45,11 +46,12 @@
   }
 
   /** Defines the service on a node. */
-  public static ServiceDefinition<MembershipMessage> definition(Member self, Platform platform) {
+  public static ServiceDefinition<MembershipMessage> definition(Member self) {
     return new ServiceDefinition<>(
         NAME,
         ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
-        context -> new MembershipService(context, self, platform));
+        context ->
+            new MembershipService(context, self, PlatformService.platformOf(context.registry())));
   }
 
   @Override
--- a/node/src/main/java/org/clementinepost/node/peer/TcpTransport.java
+++ b/node/src/main/java/org/clementinepost/node/peer/TcpTransport.java
@@ -54,8 +54,17 @@
   @Override
   public void send(byte[] frame) {
     ByteBuf buffer = connection.channel().alloc().buffer(frame.length).writeBytes(frame);
-    // A failed write closes the channel, and the task learns of that.
-    connection.channel().writeAndFlush(buffer, connection.channel().voidPromise());
+    connection
+        .channel()
+        .writeAndFlush(buffer)
+        .addListener(written -> closeIfFailed(written.isSuccess()));
+  }
+
+  /** A frame that was not written cannot be left out of a stream. */
+  private void closeIfFailed(boolean written) {
+    if (!written) {
+      close();
+    }
   }
 
   @Override
--- a/testing/src/main/java/org/clementinepost/testing/StandInProcess.java
+++ b/testing/src/main/java/org/clementinepost/testing/StandInProcess.java
@@ -8,6 +8,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.clementinepost.api.ResultCode;
+import reactor.core.publisher.Mono;
 
 /**
  * Runs a stand-in as a process of its own.
@@ -29,7 +30,7 @@
     void close();
   }
 
-  /** Starts a stand-in from a command line and returns; its sockets keep the process up. */
+  /** Starts a stand-in from a command line and waits until a signal ends the process. */
   public static void run(
       String name, Options options, String[] args, Function<CommandLine, Running> start) {
     try {
@@ -37,6 +38,7 @@
       Running running = start.apply(line);
       Runtime.getRuntime().addShutdownHook(new Thread(running::close, name + "-stop"));
       System.out.println("listening " + Json.write(running.listening()));
+      Mono.never().block();
     } catch (ParseException | IllegalArgumentException e) {
       logger.atSevere().log("event=usage code=%d cause=%s", ResultCode.USAGE.number(), e);
       printUsage(System.err, name, options);
