--- /dev/null
+++ b/policy/src/test/java/org/clementinepost/policy/ArchitectureTest.java
@@ -0,0 +1,46 @@
+package org.clementinepost.policy;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noFields;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Holds decisions apart from sockets, encodings, clocks and chance. */
+@AnalyzeClasses(
+    packages = "org.clementinepost.policy",
+    importOptions = ImportOption.DoNotIncludeTests.class)
+final class ArchitectureTest {
+  @ArchTest
+  final ArchRule decisionsKnowNoSocketsAndNoEncodings =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "io.netty..",
+              "reactor..",
+              "org.msgpack..",
+              "com.fasterxml..",
+              "org.clementinepost.wire..",
+              "org.clementinepost.platform..",
+              "org.clementinepost.node..");
+
+  @ArchTest
+  final ArchRule decisionsReadNoClock =
+      noClasses()
+          .should()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis");
+
+  @ArchTest
+  final ArchRule decisionsDrawNoRandomNumbers =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .haveNameMatching("java\\.util\\.(Random|concurrent\\.ThreadLocalRandom)");
+
+  @ArchTest final ArchRule stateIsImmutable = noFields().should().notBeFinal();
+}
--- /dev/null
+++ b/policy/src/test/java/org/clementinepost/policy/access/AccessPolicyTest.java
@@ -0,0 +1,118 @@
+package org.clementinepost.policy.access;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.clementinepost.api.CustomerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.RequestId;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.config.Key;
+import org.clementinepost.api.config.Route;
+import org.clementinepost.api.config.RouteTable;
+import org.clementinepost.api.config.Service;
+import org.clementinepost.api.config.Snapshot;
+import org.junit.jupiter.api.Test;
+
+final class AccessPolicyTest {
+  private static final CustomerId CLINIC = new CustomerId("clinic");
+  private static final CustomerId DEPOT = new CustomerId("depot");
+  private static final ServiceId SWAPS = new ServiceId("swaps");
+  private static final Snapshot SNAPSHOT =
+      new Snapshot(
+          1,
+          HashMap.empty(),
+          HashMap.of("aa", new Key("k-1", CLINIC, "aa"), "bb", new Key("k-2", DEPOT, "bb")),
+          HashMap.of(SWAPS, new Service(SWAPS, 50, 1, 2_000, 0, 1)),
+          HashMap.empty(),
+          RouteTable.empty()
+              .with(new Route("all", "/", SWAPS, false, HashSet.empty()))
+              .with(new Route("clinics", "/clinics", SWAPS, false, HashSet.of(CLINIC)))
+              .with(new Route("status", "/status", SWAPS, true, HashSet.empty())),
+          HashMap.empty());
+
+  private static ArrivedRequest request(String method, String uri, String keyHash) {
+    return new ArrivedRequest(
+        new RequestId("r-1"),
+        Option.of(keyHash),
+        method,
+        uri,
+        Vector.empty(),
+        Option.none(),
+        Option.none(),
+        RequestHead.NO_BODY);
+  }
+
+  private static Either<Failure, RequestHead> decide(String uri, String keyHash) {
+    return AccessPolicy.decide(SNAPSHOT, request("GET", uri, keyHash));
+  }
+
+  @Test
+  void aRequestRunsForTheCustomerWhoseKeyCameWithIt() {
+    assertThat(decide("/a", "bb").get().customer()).contains(DEPOT);
+  }
+
+  @Test
+  void aRequestWithoutAKeyIsRefused() {
+    assertThat(decide("/a", null).getLeft().code()).isEqualTo(ResultCode.KEY_MISSING);
+  }
+
+  @Test
+  void aKeyThatTheConfigurationDoesNotHaveIsRefused() {
+    assertThat(decide("/a", "cc").getLeft().code()).isEqualTo(ResultCode.KEY_UNKNOWN);
+  }
+
+  @Test
+  void aRouteThatNamesCustomersIsClosedToOthers() {
+    assertThat(decide("/clinics/7", "aa").isRight()).isTrue();
+    assertThat(decide("/clinics/7", "bb").getLeft().code())
+        .isEqualTo(ResultCode.CUSTOMER_NOT_ALLOWED);
+  }
+
+  @Test
+  void aRouteOpenToAllNeedsNoKeyAndRunsForNoCustomer() {
+    assertThat(decide("/status?full=1", null).get().customer()).isEmpty();
+    assertThat(decide("/status", "aa").get().customer()).isEmpty();
+  }
+
+  @Test
+  void aPrefixMatchesOnSegmentBordersOnly() {
+    assertThat(decide("/statuses", null).getLeft().code()).isEqualTo(ResultCode.KEY_MISSING);
+  }
+
+  @Test
+  void aRequestThatNoRouteMatchesIsRefused() {
+    Either<Failure, RequestHead> decided =
+        AccessPolicy.decide(Snapshot.empty(), request("GET", "/a", "aa"));
+    assertThat(decided.getLeft().code()).isEqualTo(ResultCode.NO_ROUTE);
+  }
+
+  @Test
+  void aDeadlineIsTheShorterOfTheCallersAndTheServices() {
+    ArrivedRequest hurried =
+        new ArrivedRequest(
+            new RequestId("r-1"),
+            Option.of("aa"),
+            "GET",
+            "/a",
+            Vector.empty(),
+            Option.none(),
+            Option.of(50L),
+            RequestHead.NO_BODY);
+    assertThat(AccessPolicy.decide(SNAPSHOT, hurried).get().timeoutMillis()).isEqualTo(50);
+    assertThat(decide("/a", "aa").get().timeoutMillis()).isEqualTo(2_000);
+  }
+
+  @Test
+  void aPostIsNotIdempotentAndAGetIs() {
+    assertThat(AccessPolicy.decide(SNAPSHOT, request("POST", "/a", "aa")).get().idempotent())
+        .isFalse();
+    assertThat(decide("/a", "aa").get().idempotent()).isTrue();
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/org/clementinepost/wire/PeerCodecTest.java
@@ -0,0 +1,109 @@
+package org.clementinepost.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Arrays;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Chunk;
+import org.clementinepost.api.CustomerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.HeaderField;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.RequestId;
+import org.clementinepost.api.ResponseHead;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.peer.LinkMessage;
+import org.clementinepost.api.peer.PeerMessage;
+import org.clementinepost.api.peer.StreamMessage;
+import org.junit.jupiter.api.Test;
+
+final class PeerCodecTest {
+  private static final PeerCodec CODEC = PeerCodec.standard();
+  private static final Vector<HeaderField> HEADERS =
+      Vector.of(new HeaderField("accept", "*/*"), new HeaderField("x", ""));
+
+  private static RequestHead head(Option<CustomerId> customer, Option<String> idempotencyKey) {
+    return new RequestHead(
+        new RequestId("r-1"),
+        2,
+        customer,
+        new ServiceId("bookings"),
+        "POST",
+        "/bookings?day=1",
+        HEADERS,
+        false,
+        idempotencyKey,
+        1_500,
+        RequestHead.UNKNOWN_LENGTH);
+  }
+
+  private static void assertRoundTrip(PeerMessage message) {
+    assertThat(CODEC.decode(CODEC.encode(message))).isEqualTo(Either.right(message));
+  }
+
+  @Test
+  void everyStreamMessageComesBackAsItWasSent() {
+    BackendServerId server = new BackendServerId("b-1");
+    assertRoundTrip(new StreamMessage.Open(1, server, head(Option.none(), Option.none())));
+    assertRoundTrip(
+        new StreamMessage.Open(
+            Long.MAX_VALUE, server, head(Option.of(new CustomerId("c")), Option.of("key"))));
+    assertRoundTrip(new StreamMessage.Demand(1, 32));
+    assertRoundTrip(new StreamMessage.Answered(1, new ResponseHead(200, HEADERS, server, 1_234)));
+    assertRoundTrip(new StreamMessage.Data(1, Chunk.owning(new byte[] {1, 2, 3})));
+    assertRoundTrip(new StreamMessage.End(1, 3));
+    assertRoundTrip(new StreamMessage.Failed(1, Failure.of(ResultCode.HOST_QUEUE_FULL, "detail")));
+    assertRoundTrip(new StreamMessage.Cancel(1));
+  }
+
+  @Test
+  void everyLinkMessageComesBackAsItWasSent() {
+    assertRoundTrip(new LinkMessage.Hello(new NodeId("node-1"), 7));
+    assertRoundTrip(new LinkMessage.Ping(1));
+    assertRoundTrip(new LinkMessage.Pong(1));
+  }
+
+  @Test
+  void bytesAfterAMessageAreRefused() {
+    byte[] whole = CODEC.encode(new LinkMessage.Ping(1));
+    byte[] longer = Arrays.copyOf(whole, whole.length + 1);
+    assertThat(CODEC.decode(longer).getLeft().code()).isEqualTo(ResultCode.PEER_PROTOCOL);
+  }
+
+  @Test
+  void anUnknownTypeIsRefused() {
+    assertThat(CODEC.decode(new byte[] {0x7f}).getLeft().code())
+        .isEqualTo(ResultCode.PEER_PROTOCOL);
+  }
+
+  @Property(seed = "4217", tries = 2_000)
+  void randomBytesGiveAMessageOrANumberedFailureAndNothingElse(@ForAll byte[] bytes) {
+    Either<Failure, PeerMessage> decoded = CODEC.decode(bytes);
+    assertThat(decoded.isRight() || decoded.getLeft().code() == ResultCode.PEER_PROTOCOL).isTrue();
+  }
+
+  @Property(seed = "4218", tries = 500)
+  void aCutMessageIsRefused(@ForAll("cuts") int length) {
+    byte[] whole =
+        CODEC.encode(
+            new StreamMessage.Open(
+                1, new BackendServerId("b-1"), head(Option.none(), Option.of("key"))));
+    byte[] cut = Arrays.copyOf(whole, length % whole.length);
+    assertThat(CODEC.decode(cut).getLeft().code()).isEqualTo(ResultCode.PEER_PROTOCOL);
+  }
+
+  @Provide
+  Arbitrary<Integer> cuts() {
+    return Arbitraries.integers().between(0, 10_000);
+  }
+}
