--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendDecision.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendDecision.java
@@ -30,7 +30,7 @@
       return begin(state, begin, event);
     }
     if (message instanceof BackendMessage.End end) {
-      return end(state, end);
+      return end(state, end, event);
     }
     if (message instanceof BackendMessage.Connections connections) {
       int open = state.connections() + connections.change();
@@ -43,11 +43,11 @@
       return Step.to(state, new BackendEffect.Answer<>(read.reply(), state.received()));
     }
     if (message instanceof BackendMessage.Drain drain) {
-      return drain(state, drain, event);
+      BackendState draining = state.withLifecycle(Lifecycle.DRAINING);
+      return Step.to(draining, tell(draining, event, drain.reply()));
     }
     if (message instanceof BackendMessage.Leave leave) {
-      BackendState gone = state.withLifecycle(Lifecycle.GONE);
-      return Step.to(gone, tell(gone, event, leave.reply()));
+      return leaveWhenIdle(state.withLeaving(leave.reply()), event);
     }
     return announce(state, event);
   }
@@ -58,7 +58,8 @@
         before.withReceived(before.received().seen(begin.authorization(), before.connections()));
     boolean cold =
         event.nowMillis() < state.coldUntilMillis() && state.busySlots() >= settings.coldSlots();
-    if (cold || state.busySlots() >= settings.slots()) {
+    boolean full = state.busySlots() >= settings.slots();
+    if (cold || full || state.lifecycle() == Lifecycle.GONE) {
       return Step.to(
           state.withReceived(state.received().refused(cold)),
           new BackendEffect.Answer<>(begin.reply(), new Admission.Shed(cold)));
@@ -68,36 +69,35 @@
 
   private Step<BackendState, BackendEffect> run(
       BackendState state, BackendMessage.Begin begin, Event event) {
-    boolean met = state.health().meets(event.draw());
-    long usualMillis = begin.latencyMillis().getOrElse(settings.latencyMillis());
+    HealthOrder health = state.health().forDraw(event.draw());
     long latencyMillis =
-        met && state.health().mode() == HealthMode.SLOW
-            ? state.health().latencyMillis(usualMillis)
-            : usualMillis;
-    boolean frozen = met && state.health().mode() == HealthMode.FROZEN;
+        health.latencyMillis(begin.latencyMillis().getOrElse(settings.latencyMillis()));
+    boolean frozen = health.mode() == HealthMode.FROZEN;
     boolean late = begin.timeoutMillis() > 0 && latencyMillis > begin.timeoutMillis();
+    boolean draining = state.lifecycle() == Lifecycle.DRAINING;
     int busy = state.busySlots() + 1;
-    Received received =
-        state
-            .received()
-            .run(begin.requestId(), busy, state.lifecycle() == Lifecycle.DRAINING, late && !frozen);
-    boolean wrong = met && state.health().mode() == HealthMode.WRONG;
-    int status = wrong ? SERVER_ERROR_STATUS : OK_STATUS;
+    Received received = state.received().run(begin.requestId(), busy, draining, late && !frozen);
+    long delayMillis = late ? begin.timeoutMillis() : latencyMillis;
     Admission admission =
         frozen
             ? new Admission.Hang()
-            : new Admission.Run(
-                late ? begin.timeoutMillis() : latencyMillis,
-                late ? GATEWAY_TIMEOUT_STATUS : status,
-                received.totalRuns());
+            : new Admission.Run(delayMillis, statusOf(health, late), received.totalRuns());
     return Step.to(
         state.withBusySlots(busy).withReceived(received),
         new BackendEffect.Answer<>(begin.reply(), admission));
   }
 
-  private static Step<BackendState, BackendEffect> end(BackendState state, BackendMessage.End end) {
+  private static int statusOf(HealthOrder health, boolean late) {
+    if (late) {
+      return GATEWAY_TIMEOUT_STATUS;
+    }
+    return health.mode() == HealthMode.WRONG ? SERVER_ERROR_STATUS : OK_STATUS;
+  }
+
+  private static Step<BackendState, BackendEffect> end(
+      BackendState state, BackendMessage.End end, Event event) {
     Received received = end.cancelled() ? state.received().withCancelled() : state.received();
-    return drainedWhenIdle(state.withBusySlots(state.busySlots() - 1).withReceived(received));
+    return leaveWhenIdle(state.withBusySlots(state.busySlots() - 1).withReceived(received), event);
   }
 
   private Step<BackendState, BackendEffect> control(
@@ -110,25 +110,21 @@
         BackendState draining = state.withLifecycle(Lifecycle.DRAINING);
         yield Step.to(draining, Vector.of(done, tell(draining, event, Reply.ignored())));
       }
+      case HEALTHY -> Step.to(serving(state).withHealth(control.order()), done);
       default -> Step.to(state.withHealth(control.order()), done);
     };
   }
 
-  private static Step<BackendState, BackendEffect> drain(
-      BackendState state, BackendMessage.Drain drain, Event event) {
-    BackendState draining =
-        state.withLifecycle(Lifecycle.DRAINING).withDrained(state.drained().append(drain.reply()));
-    Step<BackendState, BackendEffect> step = drainedWhenIdle(draining);
-    return Step.to(step.state(), step.effects().prepend(tell(draining, event, Reply.ignored())));
+  private static BackendState serving(BackendState state) {
+    return state.leaving().isEmpty() ? state.withLifecycle(Lifecycle.SERVING) : state;
   }
 
-  private static Step<BackendState, BackendEffect> drainedWhenIdle(BackendState state) {
-    if (state.busySlots() > 0 || state.drained().isEmpty()) {
+  private static Step<BackendState, BackendEffect> leaveWhenIdle(BackendState state, Event event) {
+    if (state.busySlots() > 0 || state.leaving().isEmpty()) {
       return Step.to(state);
     }
-    Vector<BackendEffect> answers =
-        state.drained().map(reply -> new BackendEffect.Answer<>(reply, state.lifecycle()));
-    return Step.to(state.withDrained(Vector.empty()), answers);
+    BackendState gone = state.withLifecycle(Lifecycle.GONE);
+    return Step.to(gone, tell(gone, event, state.leaving().get()));
   }
 
   private static Step<BackendState, BackendEffect> announce(BackendState state, Event event) {
--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendFront.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendFront.java
@@ -1,16 +1,17 @@
 package org.clementinepost.testing.backend;
 
-import io.vavr.collection.LinkedHashMap;
-import io.vavr.collection.Map;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.clementinepost.api.Failure;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Ask;
+import org.clementinepost.kernel.Reply;
 import org.clementinepost.testing.Json;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -76,8 +77,7 @@
   }
 
   private static BackendMessage begin(
-      HttpServerRequest request,
-      org.clementinepost.kernel.Reply<Either<Failure, Admission>> reply) {
+      HttpServerRequest request, Reply<Either<Failure, Admission>> reply) {
     Matcher delay = DELAY_PARAMETER.matcher(request.uri());
     return new BackendMessage.Begin(
         request.requestHeaders().get(REQUEST_ID_FIELD, ""),
@@ -94,7 +94,7 @@
     }
     Mono<Void> work =
         admission instanceof Admission.Run run
-            ? Mono.delay(Duration.ofMillis(run.delayMillis())).then(answer(run, request, response))
+            ? later(run.delayMillis()).then(Mono.defer(() -> answer(run, request, response)))
             : Mono.never();
     return Mono.usingWhen(
         Mono.just(admission),
@@ -104,6 +104,10 @@
         taken -> ended(true));
   }
 
+  private static Mono<Void> later(long delayMillis) {
+    return delayMillis == 0 ? Mono.empty() : Mono.delay(Duration.ofMillis(delayMillis)).then();
+  }
+
   private Mono<Void> ended(boolean cancelled) {
     return Mono.fromRunnable(() -> task.send(new BackendMessage.End(cancelled)));
   }
@@ -151,17 +155,14 @@
 
   private Described described(Admission.Run run, HttpServerRequest request, long bodyBytes) {
     Map<String, String> headers =
-        LinkedHashMap.ofAll(
-            request.requestHeaders().entries().stream(),
-            java.util.Map.Entry::getKey,
-            java.util.Map.Entry::getValue);
+        request.requestHeaders().entries().stream()
+            .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, BackendFront::join));
     return new Described(
-        request.method().name(),
-        request.uri(),
-        headers.toJavaMap(),
-        bodyBytes,
-        id,
-        run.totalRuns());
+        request.method().name(), request.uri(), headers, bodyBytes, id, run.totalRuns());
+  }
+
+  private static String join(String first, String second) {
+    return first + ", " + second;
   }
 
   private static Mono<Void> json(HttpServerResponse response, int status, Object value) {
@@ -179,7 +180,7 @@
   private record Described(
       String method,
       String path,
-      java.util.Map<String, String> headers,
+      Map<String, String> headers,
       long bodyBytes,
       String server,
       long runCount) {}
--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendMessage.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendMessage.java
@@ -39,9 +39,9 @@
   /** It is time to announce. */
   record Announce() implements BackendMessage {}
 
-  /** Announces to drain, and answers when no request runs any more. */
+  /** Announces to drain, and answers when the node has been told. */
   record Drain(Reply<Either<Failure, Lifecycle>> reply) implements BackendMessage {}
 
-  /** Announces to be gone, and answers when the node has been told. */
+  /** Goes when no request runs any more, and answers when the node has been told. */
   record Leave(Reply<Either<Failure, Lifecycle>> reply) implements BackendMessage {}
 }
--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendServerStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendServerStandIn.java
@@ -92,11 +92,9 @@
     return Ask.of(task, BackendMessage.ReadReceived::new);
   }
 
-  /** Announces to drain; answers when no request runs and the drain time is over. */
+  /** Announces to drain, and goes on serving; answers when the node has been told. */
   public Mono<Either<Failure, Lifecycle>> drain() {
-    Mono<Either<Failure, Lifecycle>> idle = Ask.of(task, BackendMessage.Drain::new);
-    return Mono.delay(Duration.ofMillis(settings.drainMillis()))
-        .zipWith(idle, (waited, drained) -> drained);
+    return Ask.of(task, BackendMessage.Drain::new);
   }
 
   @Override
@@ -107,11 +105,15 @@
 
   private record Listening(String role, String id, String service, String domain, String url) {}
 
-  /** Leaves in order: drains, tells the node that it is gone, and stops. */
+  /** Leaves in order: drains, ends its requests, tells the node that it is gone, and stops. */
   @Override
   public void close() {
     Mono<Either<Failure, Lifecycle>> gone = Ask.of(task, BackendMessage.Leave::new);
-    drain().then(gone).onErrorComplete().block(MAX_DRAIN_TIME);
+    drain()
+        .delayElement(Duration.ofMillis(settings.drainMillis()))
+        .then(gone)
+        .timeout(MAX_DRAIN_TIME, Mono.empty())
+        .block();
     kill();
   }
 
--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendState.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendState.java
@@ -1,7 +1,7 @@
 package org.clementinepost.testing.backend;
 
-import io.vavr.collection.Vector;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.clementinepost.api.Failure;
 import org.clementinepost.kernel.Reply;
 
@@ -14,7 +14,7 @@
  * @param coldUntilMillis when its cold start ends
  * @param busySlots the requests that run
  * @param connections the open connections
- * @param drained those who wait for the last request to end
+ * @param leaving who waits for the last request to end, so that the server can go
  * @param received what it has seen
  */
 record BackendState(
@@ -24,7 +24,7 @@
     long coldUntilMillis,
     int busySlots,
     int connections,
-    Vector<Reply<Either<Failure, Lifecycle>>> drained,
+    Option<Reply<Either<Failure, Lifecycle>>> leaving,
     Received received) {
 
   static BackendState started(long nowMillis, long coldStartMillis) {
@@ -35,36 +35,36 @@
         nowMillis + coldStartMillis,
         0,
         0,
-        Vector.empty(),
+        Option.none(),
         Received.none());
   }
 
   BackendState withLifecycle(Lifecycle next) {
     return new BackendState(
-        next, health, startedMillis, coldUntilMillis, busySlots, connections, drained, received);
+        next, health, startedMillis, coldUntilMillis, busySlots, connections, leaving, received);
   }
 
   BackendState withHealth(HealthOrder next) {
     return new BackendState(
-        lifecycle, next, startedMillis, coldUntilMillis, busySlots, connections, drained, received);
+        lifecycle, next, startedMillis, coldUntilMillis, busySlots, connections, leaving, received);
   }
 
   BackendState withColdUntil(long untilMillis) {
     return new BackendState(
-        lifecycle, health, startedMillis, untilMillis, busySlots, connections, drained, received);
+        lifecycle, health, startedMillis, untilMillis, busySlots, connections, leaving, received);
   }
 
   BackendState withBusySlots(int busy) {
     return new BackendState(
-        lifecycle, health, startedMillis, coldUntilMillis, busy, connections, drained, received);
+        lifecycle, health, startedMillis, coldUntilMillis, busy, connections, leaving, received);
   }
 
   BackendState withConnections(int open) {
     return new BackendState(
-        lifecycle, health, startedMillis, coldUntilMillis, busySlots, open, drained, received);
+        lifecycle, health, startedMillis, coldUntilMillis, busySlots, open, leaving, received);
   }
 
-  BackendState withDrained(Vector<Reply<Either<Failure, Lifecycle>>> waiting) {
+  BackendState withLeaving(Reply<Either<Failure, Lifecycle>> waiting) {
     return new BackendState(
         lifecycle,
         health,
@@ -72,12 +72,12 @@
         coldUntilMillis,
         busySlots,
         connections,
-        waiting,
+        Option.some(waiting),
         received);
   }
 
   BackendState withReceived(Received next) {
     return new BackendState(
-        lifecycle, health, startedMillis, coldUntilMillis, busySlots, connections, drained, next);
+        lifecycle, health, startedMillis, coldUntilMillis, busySlots, connections, leaving, next);
   }
 }
--- a/testing/src/main/java/org/clementinepost/testing/backend/HealthMode.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/HealthMode.java
@@ -4,6 +4,7 @@
 
 /** How a backend server behaves, whatever it announces. */
 public enum HealthMode {
+  /** It answers as it should, and serves again after an order to drain. */
   @JsonProperty("healthy")
   HEALTHY,
   /** It answers late. */
--- a/testing/src/main/java/org/clementinepost/testing/backend/HealthOrder.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/HealthOrder.java
@@ -21,11 +21,15 @@
     return new HealthOrder(mode, 0, 0, 0);
   }
 
-  boolean meets(double draw) {
-    return fraction <= 0 || draw < fraction;
+  /** How to behave towards a request for which a number between zero and one was drawn. */
+  HealthOrder forDraw(double draw) {
+    return fraction <= 0 || draw < fraction ? this : of(HealthMode.HEALTHY);
   }
 
   long latencyMillis(long usualMillis) {
+    if (mode != HealthMode.SLOW) {
+      return usualMillis;
+    }
     double factor = latencyFactor > 0 ? latencyFactor : 1;
     return Math.round(usualMillis * factor) + addedMillis;
   }
--- /dev/null
+++ b/testing/src/test/java/org/clementinepost/testing/backend/BackendServerStandInTest.java
@@ -0,0 +1,180 @@
+package org.clementinepost.testing.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServer;
+
+/** The stand-in over HTTP, with a node that only listens. */
+final class BackendServerStandInTest {
+  private static final Duration MAX_WAIT = Duration.ofSeconds(20);
+  private static final Duration POLL = Duration.ofMillis(20);
+
+  private final Queue<String> announcements = new ConcurrentLinkedQueue<>();
+  private final DisposableServer node =
+      HttpServer.create()
+          .host("127.0.0.1")
+          .port(0)
+          .route(
+              routes ->
+                  routes.post(
+                      "/announce",
+                      (request, response) ->
+                          request
+                              .receive()
+                              .aggregate()
+                              .asString()
+                              .doOnNext(announcements::add)
+                              .then(response.status(204).send())))
+          .bindNow();
+  private final BackendServerStandIn server =
+      BackendServerStandIn.start(
+          BackendSettings.builder()
+              .id("b1")
+              .slots(2)
+              .announceUrl("http://127.0.0.1:" + node.port())
+              .announcePeriodMillis(50)
+              .build());
+  private final HttpClient client = HttpClient.newConnection();
+
+  @AfterEach
+  void stop() {
+    server.kill();
+    node.disposeNow();
+  }
+
+  private Mono<String> call(String path) {
+    return client
+        .get()
+        .uri(server.url() + path)
+        .responseSingle(
+            (response, body) ->
+                body.asString()
+                    .defaultIfEmpty("")
+                    .map(
+                        text ->
+                            response.status().code()
+                                + " "
+                                + response.responseHeaders().get("clementinepost-outcome", "-")
+                                + " "
+                                + text));
+  }
+
+  private Received awaitReceived(Predicate<Received> condition) {
+    return Flux.interval(POLL)
+        .onBackpressureDrop()
+        .concatMap(tick -> server.received())
+        .map(read -> read.get())
+        .filter(condition)
+        .blockFirst(MAX_WAIT);
+  }
+
+  private void awaitAnnouncement(String part) {
+    Flux.interval(POLL)
+        .filter(tick -> announcements.stream().anyMatch(line -> line.contains(part)))
+        .blockFirst(MAX_WAIT);
+  }
+
+  @Test
+  void echoesAWholeBody() {
+    byte[] chunk = new byte[50_000];
+    byte[] echoed =
+        client
+            .post()
+            .uri(server.url() + "/echo")
+            .send(ByteBufFlux.fromInbound(Flux.range(0, 20).map(i -> chunk)))
+            .responseContent()
+            .aggregate()
+            .asByteArray()
+            .block(MAX_WAIT);
+
+    assertThat(echoed).hasSize(20 * chunk.length);
+  }
+
+  @Test
+  void describesARequestAndCountsItsRuns() {
+    String answer =
+        client
+            .headers(fields -> fields.set("clementinepost-request-id", "r1"))
+            .headers(fields -> fields.set("Authorization", "Bearer k"))
+            .post()
+            .uri(server.url() + "/book?day=1")
+            .send(ByteBufFlux.fromString(Mono.just("abc")))
+            .responseContent()
+            .aggregate()
+            .asString(StandardCharsets.UTF_8)
+            .block(MAX_WAIT);
+
+    assertThat(answer)
+        .contains("\"method\":\"POST\"", "\"path\":\"/book?day=1\"", "\"bodyBytes\":3")
+        .contains("\"server\":\"b1\"", "\"runCount\":1");
+    assertThat(call("/received").block(MAX_WAIT))
+        .contains("\"runs\":{\"r1\":1}", "\"authorizationSeen\":true");
+  }
+
+  @Test
+  void shedsWithATrueNotRun() {
+    server.control(HealthOrder.of(HealthMode.FROZEN)).block(MAX_WAIT);
+    Disposable first = call("/a").subscribe();
+    Disposable second = call("/b").subscribe();
+    awaitReceived(received -> received.totalRuns() == 2);
+
+    assertThat(call("/c").block(MAX_WAIT)).startsWith("503 not-run");
+    assertThat(awaitReceived(received -> true).totalRuns()).isEqualTo(2);
+    first.dispose();
+    second.dispose();
+  }
+
+  @Test
+  void recordsAConnectionThatClosesBeforeTheAnswer() {
+    server.control(HealthOrder.of(HealthMode.FROZEN)).block(MAX_WAIT);
+    Disposable waiting = call("/a").subscribe();
+    awaitReceived(received -> received.totalRuns() == 1);
+    waiting.dispose();
+
+    assertThat(awaitReceived(received -> received.cancelled() == 1)).isNotNull();
+    server.control(HealthOrder.of(HealthMode.HEALTHY)).block(MAX_WAIT);
+    assertThat(call("/b").block(MAX_WAIT)).startsWith("200");
+  }
+
+  @Test
+  void takesOrdersOverHttp() {
+    String answer =
+        client
+            .post()
+            .uri(server.url() + "/control")
+            .send(ByteBufFlux.fromString(Mono.just("{\"mode\":\"wrong\"}")))
+            .responseContent()
+            .aggregate()
+            .asString()
+            .block(MAX_WAIT);
+
+    assertThat(answer).contains("\"mode\":\"wrong\"");
+    assertThat(call("/a").block(MAX_WAIT)).startsWith("500");
+  }
+
+  @Test
+  void finishesItsRequestsBeforeItIsGone() {
+    awaitAnnouncement("\"state\":\"serving\"");
+    Mono<String> answer = call("/a?delayMillis=500").cache();
+    answer.subscribe();
+    awaitReceived(received -> received.totalRuns() == 1);
+    server.close();
+
+    assertThat(answer.block(MAX_WAIT)).startsWith("200");
+    assertThat(announcements).anyMatch(line -> line.contains("\"state\":\"draining\""));
+    assertThat(announcements).last().asString().contains("\"state\":\"gone\"", "\"id\":\"b1\"");
+  }
+}
