--- a/testing/src/main/java/org/clementinepost/testing/Json.java
+++ b/testing/src/main/java/org/clementinepost/testing/Json.java
@@ -31,6 +31,12 @@
   public static <T> Either<String, T> read(byte[] document, Class<T> type) {
     return Try.of(() -> MAPPER.readValue(new String(document, StandardCharsets.UTF_8), type))
         .toEither()
-        .mapLeft(error -> String.valueOf(error.getMessage()));
+        .mapLeft(Json::problemOf);
+  }
+
+  private static String problemOf(Throwable error) {
+    return error instanceof JsonProcessingException json
+        ? json.getOriginalMessage()
+        : String.valueOf(error.getMessage());
   }
 }
--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendFront.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendFront.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -156,7 +157,12 @@
   private Described described(Admission.Run run, HttpServerRequest request, long bodyBytes) {
     Map<String, String> headers =
         request.requestHeaders().entries().stream()
-            .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, BackendFront::join));
+            .collect(
+                Collectors.toMap(
+                    Map.Entry::getKey,
+                    Map.Entry::getValue,
+                    BackendFront::join,
+                    LinkedHashMap::new));
     return new Described(
         request.method().name(), request.uri(), headers, bodyBytes, id, run.totalRuns());
   }
--- a/testing/src/main/java/org/clementinepost/testing/golden/GoldenSession.java
+++ b/testing/src/main/java/org/clementinepost/testing/golden/GoldenSession.java
@@ -12,7 +12,7 @@
  * <p>The file is {@code src/test/resources/golden/NAME.txt} of the module under test. A run with
  * {@code -Dgolden.update=true} writes it instead, to be read before it is committed:
  *
- * <pre>mvn -B -ntp test -pl MODULE -am -DargLine=-Dgolden.update=true</pre>
+ * <pre>mvn -B -ntp test -pl MODULE -am -Dgolden.update=true</pre>
  *
  * <p>A session belongs to the thread of its test.
  */
--- /dev/null
+++ b/testing/src/test/java/org/clementinepost/testing/platform/PlatformSessionTest.java
@@ -0,0 +1,85 @@
+package org.clementinepost.testing.platform;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import org.clementinepost.testing.golden.GoldenSession;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClient.RequestSender;
+
+/** A session of plain requests, line by line against its golden file. */
+final class PlatformSessionTest {
+  private static final Duration MAX_WAIT = Duration.ofSeconds(20);
+  private static final String KEY = "{\"pk\":{\"S\":\"config\"},\"sk\":{\"S\":\"head\"}}";
+  private static final String CREATE =
+      "{\"TransactItems\":[{\"Put\":{\"TableName\":\"t\",\"Item\":{\"pk\":{\"S\":\"config\"},"
+          + "\"sk\":{\"S\":\"head\"},\"version\":{\"N\":\"1\"},\"body\":{\"S\":\"{}\"}},"
+          + "\"ConditionExpression\":\"attribute_not_exists(pk)\"}}]}";
+  private static final String GET = "{\"TableName\":\"t\",\"Key\":" + KEY + "}";
+  private static final String QUERY =
+      "{\"TableName\":\"t\",\"KeyConditionExpression\":\"pk = :p\","
+          + "\"ExpressionAttributeValues\":{\":p\":{\"S\":\"config\"}},\"Limit\":1}";
+
+  private final PlatformStandIn standIn = PlatformStandIn.start();
+  private final GoldenSession session = GoldenSession.named("platform-stand-in");
+
+  @AfterEach
+  void stop() {
+    standIn.close();
+  }
+
+  private void table(String operation, String body) {
+    HttpClient client =
+        HttpClient.create()
+            .headers(fields -> fields.set("X-Amz-Target", "DynamoDB_20120810." + operation));
+    session.line("> " + operation + " " + body);
+    exchange(client.post().uri(standIn.url()), body);
+  }
+
+  private void plain(String method, String path, String body) {
+    session.line("> " + method + " " + path + " " + body);
+    HttpClient client = HttpClient.create().headers(fields -> fields.set("If-None-Match", "*"));
+    RequestSender sender =
+        switch (method) {
+          case "PUT" -> client.put();
+          case "POST" -> client.post();
+          default -> client.request(HttpMethod.GET);
+        };
+    exchange(sender.uri(standIn.url() + path), body);
+  }
+
+  private void exchange(RequestSender sender, String body) {
+    session.line(
+        sender
+            .send(ByteBufFlux.fromString(Mono.just(body)))
+            .responseSingle(
+                (response, content) ->
+                    content
+                        .asString()
+                        .defaultIfEmpty("")
+                        .map(text -> "< " + response.status().code() + " " + text))
+            .block(MAX_WAIT));
+  }
+
+  @Test
+  void session() {
+    table("GetItem", GET);
+    table("TransactWriteItems", CREATE);
+    table("TransactWriteItems", CREATE);
+    table("GetItem", GET);
+    table("Query", QUERY);
+    table("Scan", "{}");
+    plain("PUT", "/bucket/snapshots/1", "abc");
+    plain("PUT", "/bucket/snapshots/1", "abd");
+    plain("GET", "/bucket/snapshots/1", "");
+    plain("GET", "/bucket/snapshots/2", "");
+    plain("POST", "/control", "{\"mode\":\"throttle\",\"count\":2}");
+    table("GetItem", GET);
+    plain("GET", "/bucket/snapshots/1", "");
+    table("GetItem", GET);
+    session.verify();
+  }
+}
