Check the settings whole, add the operators' port, metrics, edge limits and the planned stop

A path with dot segments, plain or encoded, is refused (1001): under an open route it would have reached what lies beside it on a backend server that resolves the segment.

--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -1,12 +1,16 @@
 package org.clementinepost.node;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.function.Function;
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.peer.DirectoryPeerMessage;
 import org.clementinepost.api.peer.PeerMessage;
+import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Kernel;
 import org.clementinepost.kernel.Registry;
+import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.node.access.AccessService;
 import org.clementinepost.node.announce.AnnounceMessage;
@@ -19,58 +23,84 @@
 import org.clementinepost.node.exchange.ExchangeService;
 import org.clementinepost.node.host.HostService;
 import org.clementinepost.node.membership.MembershipService;
+import org.clementinepost.node.metrics.MetricsService;
+import org.clementinepost.node.operator.OperatorMessage;
+import org.clementinepost.node.operator.OperatorService;
 import org.clementinepost.node.peer.ControlReceiver;
 import org.clementinepost.node.peer.PeerListener;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.node.settings.NodeSettings;
+import org.clementinepost.platform.InMemoryPlatform;
 import org.clementinepost.platform.PlatformService;
-import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
 /** One running node: its services, in the order in which they start. */
-public final class Node implements Disposable {
+public final class Node {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** The time in which other nodes and callers learn that this node is going. */
+  private static final Duration FAREWELL = Duration.ofMillis(300);
+
+  private static final Duration SCHEDULER_STOP_TIMEOUT = Duration.ofSeconds(5);
+
+  private final NodeSettings settings;
   private final Scheduler scheduler;
   private final Kernel kernel;
   private final Member self;
 
-  private Node(Scheduler scheduler, Kernel kernel, Member self) {
+  private Node(NodeSettings settings, Scheduler scheduler, Kernel kernel, Member self) {
+    this.settings = settings;
     this.scheduler = scheduler;
     this.kernel = kernel;
     this.self = self;
   }
 
-  /** Starts a node. */
-  public static Node start(
-      NodeSettings settings,
-      ServiceDefinition<PlatformService.Message> platform,
-      long incarnation) {
+  /**
+   * Starts a node.
+   *
+   * @param incarnation grows at each start of a node of this name
+   */
+  public static Node start(NodeSettings settings, long incarnation) {
     PeerListener listener =
         PeerListener.open(
             settings.peer(),
             address -> new Member(settings.node(), incarnation, address, settings.domain()));
-    Member self = listener.self();
     Scheduler scheduler =
         Schedulers.newParallel("node", Runtime.getRuntime().availableProcessors(), true);
-    Kernel kernel =
-        Kernel.builder()
-            .scheduler(scheduler)
-            .seed(incarnation)
-            .service(platform)
-            .service(ConfigurationService.definition())
-            .service(MembershipService.definition(self))
-            .service(RoutingService.definition())
-            .service(DirectoryService.definition(self))
-            .service(HostService.definition(self))
-            .service(ExchangeService.definition(settings.connectionsPerServer()))
-            .service(PeerService.definition(listener, Node::controlReceiver))
-            .service(AccessService.definition())
-            .service(AnnounceService.definition(settings.announce()))
-            .service(EdgeService.definition(self, settings.ingress()))
-            .start();
-    return new Node(scheduler, kernel, self);
+    Kernel kernel = kernel(settings, listener, scheduler, incarnation);
+    return new Node(settings, scheduler, kernel, listener.self());
+  }
+
+  private static Kernel kernel(
+      NodeSettings settings, PeerListener listener, Scheduler scheduler, long seed) {
+    Member self = listener.self();
+    return Kernel.builder()
+        .scheduler(scheduler)
+        .seed(seed)
+        .service(MetricsService.definition())
+        .service(platform(settings))
+        .service(ConfigurationService.definition())
+        .service(MembershipService.definition(self))
+        .service(RoutingService.definition())
+        .service(DirectoryService.definition(self))
+        .service(HostService.definition(self))
+        .service(ExchangeService.definition(settings.connectionsPerServer()))
+        .service(PeerService.definition(listener, Node::controlReceiver))
+        .service(AccessService.definition())
+        .service(AnnounceService.definition(settings.announce()))
+        .service(OperatorService.definition(self, settings.operator()))
+        .service(EdgeService.definition(self, settings.ingress(), settings.edge()))
+        .start();
+  }
+
+  private static ServiceDefinition<PlatformService.Message> platform(NodeSettings settings) {
+    return settings
+        .platform()
+        .map(PlatformService::definition)
+        .getOrElse(() -> PlatformService.definition(InMemoryPlatform.create()));
   }
 
   private static ControlReceiver controlReceiver(Registry registry) {
@@ -88,22 +118,43 @@
     return self;
   }
 
-  /** The port for callers. */
-  public Mono<Integer> ingressPort() {
-    return Mono.create(
-        sink -> kernel.find(EdgeService.NAME).send(new EdgeMessage.PortAsked(sink::success)));
+  /** The ports that the node has opened. */
+  public Mono<NodePorts> ports() {
+    Mono<Integer> ingress = ask(kernel.find(EdgeService.NAME), EdgeMessage.PortAsked::new);
+    Mono<Integer> operator = ask(kernel.find(OperatorService.NAME), OperatorMessage.PortAsked::new);
+    Mono<Integer> announce = ask(kernel.find(AnnounceService.NAME), AnnounceMessage.PortAsked::new);
+    return Mono.zip(ingress, operator, announce)
+        .map(
+            ports ->
+                new NodePorts(
+                    self.node().value(),
+                    ports.getT1(),
+                    ports.getT2(),
+                    ports.getT3(),
+                    self.peerAddress().port()));
   }
 
-  /** The port for backend servers' announcements. */
-  public Mono<Integer> announcePort() {
-    return Mono.create(
-        sink ->
-            kernel.find(AnnounceService.NAME).send(new AnnounceMessage.PortAsked(sink::success)));
+  private static <M, R> Mono<R> ask(Address<M> address, Function<Reply<R>, M> question) {
+    return Mono.create(sink -> address.send(question.apply(sink::success)));
   }
 
-  @Override
-  public void dispose() {
+  /**
+   * Stops the node as planned: it takes no new requests, ends those in hand, and goes.
+   *
+   * <p>The wait is bounded by a setting; what is still running then is cut.
+   */
+  public void stop() {
+    logger.atInfo().log("event=node-stopping node=%s", self.node());
+    kernel.find(OperatorService.NAME).send(new OperatorMessage.Stopping());
+    Duration limit = Duration.ofMillis(settings.stopTimeoutMillis());
+    Mono<Boolean> edgeEmpty = ask(kernel.find(EdgeService.NAME), EdgeMessage.Stop::new);
+    Boolean whole =
+        Mono.delay(FAREWELL)
+            .then(edgeEmpty)
+            .timeout(limit.plus(FAREWELL), Mono.just(false))
+            .block();
+    logger.atInfo().log("event=node-stopped node=%s whole=%s", self.node(), whole);
     kernel.dispose();
-    scheduler.disposeGracefully().block(Duration.ofSeconds(5));
+    scheduler.disposeGracefully().timeout(SCHEDULER_STOP_TIMEOUT).onErrorComplete().block();
   }
 }
--- a/node/src/main/java/org/clementinepost/node/NodeMain.java
+++ b/node/src/main/java/org/clementinepost/node/NodeMain.java
@@ -1,99 +1,114 @@
 package org.clementinepost.node;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.FluentLogger;
+import io.vavr.collection.Vector;
 import io.vavr.control.Either;
+import java.io.PrintWriter;
+import java.net.BindException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.Option;
-import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.node.settings.NodeSettings;
 import org.clementinepost.node.settings.NodeSettingsReader;
-import org.clementinepost.platform.InMemoryPlatform;
-import org.clementinepost.platform.PlatformService;
-import org.clementinepost.platform.PlatformSettings;
+import org.clementinepost.node.settings.SettingsFinding;
+import org.clementinepost.node.settings.SettingsReference;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.Sinks;
 
 /** The binary {@code clementinepost}: runs one node until it is told to stop. */
 public final class NodeMain {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final String SETTINGS = "settings";
+  private static final ObjectMapper MAPPER = new ObjectMapper();
 
-  private NodeMain() {}
+  private final PrintWriter out;
+  private final PrintWriter err;
+
+  NodeMain(PrintWriter out, PrintWriter err) {
+    this.out = out;
+    this.err = err;
+  }
 
   /** Runs the binary. */
   public static void main(String[] arguments) {
-    Either<Failure, NodeSettings> settings = settings(arguments);
-    if (settings.isLeft()) {
-      Failure failure = settings.getLeft();
-      System.err.println(
-          "error "
-              + failure.code().number()
-              + " "
-              + failure.code().title()
-              + ": "
-              + failure.detail());
-      System.exit(failure.code().exitCode());
+    NodeMain main =
+        new NodeMain(
+            new PrintWriter(System.out, true, StandardCharsets.UTF_8),
+            new PrintWriter(System.err, true, StandardCharsets.UTF_8));
+    int exitCode = main.run(arguments);
+    if (exitCode != 0) {
+      System.exit(exitCode);
     }
-    run(settings.get());
   }
 
-  private static Either<Failure, NodeSettings> settings(String[] arguments) {
-    Options options =
-        new Options().addOption(Option.builder().longOpt(SETTINGS).hasArg().required().get());
-    try {
-      CommandLine line = new DefaultParser().parse(options, arguments);
-      return NodeSettingsReader.read(Path.of(line.getOptionValue(SETTINGS)));
-    } catch (ParseException e) {
-      return Either.left(Failure.of(ResultCode.USAGE, e.getMessage()));
+  int run(String... arguments) {
+    Either<Failure, NodeCommandLine> line = NodeCommandLine.parse(arguments);
+    if (line.isLeft()) {
+      NodeCommandLine.printHelp(err);
+      return fail(line.getLeft());
     }
+    return switch (line.get().action()) {
+      case HELP -> help();
+      case VERSION -> print("clementinepost " + Version.text());
+      case SETTINGS_REFERENCE -> print(SettingsReference.markdown().stripTrailing());
+      case CHECK, RUN -> withSettings(line.get());
+    };
+  }
+
+  private int help() {
+    NodeCommandLine.printHelp(out);
+    return ResultCode.OK.exitCode();
+  }
+
+  private int print(String text) {
+    out.println(text);
+    return ResultCode.OK.exitCode();
   }
 
-  private static void run(NodeSettings settings) {
-    Node node = Node.start(settings, platform(settings), System.currentTimeMillis());
-    Sinks.Empty<Void> stopped = Sinks.empty();
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  node.dispose();
-                  stopped.tryEmitEmpty();
-                }));
-    Mono.zip(node.ingressPort(), node.announcePort())
-        .subscribe(ports -> announce(settings, node, ports.getT1(), ports.getT2()));
-    stopped.asMono().block();
+  private int fail(Failure failure) {
+    err.println(
+        "error "
+            + failure.code().number()
+            + " "
+            + failure.code().title()
+            + ": "
+            + failure.detail());
+    return failure.code().exitCode();
   }
 
-  private static void announce(NodeSettings settings, Node node, int ingress, int announce) {
-    logger.atInfo().log(
-        "event=node-started node=%s incarnation=%d", node.self().node(), node.self().incarnation());
-    System.out.println(
-        "listening {\"node\":\""
-            + settings.node()
-            + "\",\"ingress\":"
-            + ingress
-            + ",\"announce\":"
-            + announce
-            + ",\"peer\":"
-            + node.self().peerAddress().port()
-            + "}");
+  private int withSettings(NodeCommandLine line) {
+    Either<Vector<SettingsFinding>, NodeSettings> settings =
+        NodeSettingsReader.read(Path.of(line.settingsFile()));
+    if (settings.isLeft()) {
+      settings.getLeft().forEach(finding -> err.println(finding.line()));
+      return settings.getLeft().head().code().exitCode();
+    }
+    if (line.action() == NodeCommandLine.Action.CHECK) {
+      return print("settings are in order");
+    }
+    return start(settings.get());
+  }
+
+  private int start(NodeSettings settings) {
+    try {
+      Node node = Node.start(settings, System.currentTimeMillis());
+      Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "node-stop"));
+      NodePorts ports = node.ports().block();
+      logger.atInfo().log(
+          "event=node-started node=%s incarnation=%d",
+          node.self().node(), node.self().incarnation());
+      out.println("listening " + MAPPER.writeValueAsString(ports));
+      Mono.never().block();
+      return ResultCode.OK.exitCode();
+    } catch (Exception e) {
+      return fail(Failure.of(startFailure(e), String.valueOf(e.getMessage())));
+    }
   }
 
-  private static ServiceDefinition<PlatformService.Message> platform(NodeSettings settings) {
-    return settings
-        .platform()
-        .map(
-            address ->
-                PlatformService.definition(
-                    PlatformSettings.builder()
-                        .tableUrl(address.tableUrl())
-                        .objectsUrl(address.objectsUrl())
-                        .build()))
-        .getOrElse(() -> PlatformService.definition(InMemoryPlatform.create()));
+  private static ResultCode startFailure(Exception error) {
+    boolean port = error.getCause() instanceof BindException || error instanceof BindException;
+    return port || error instanceof reactor.netty.ChannelBindException
+        ? ResultCode.PORT_UNAVAILABLE
+        : ResultCode.INTERNAL;
   }
 }
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeMessage.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeMessage.java
@@ -6,4 +6,7 @@
 public sealed interface EdgeMessage {
   /** Asks for the port that was opened. */
   record PortAsked(Reply<Integer> reply) implements EdgeMessage {}
+
+  /** Takes no new requests, and tells when those in hand have ended. */
+  record Stop(Reply<Boolean> ended) implements EdgeMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -1,18 +1,32 @@
 package org.clementinepost.node.edge;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.DefaultEventExecutor;
+import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.clementinepost.api.Chunk;
+import org.clementinepost.api.Failure;
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.RequestId;
+import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.node.exchange.Answer;
+import org.clementinepost.node.metrics.MetricsMessage;
+import org.clementinepost.node.metrics.MetricsService;
+import org.clementinepost.node.settings.NodeSettings.EdgeLimits;
+import org.clementinepost.policy.access.ArrivedRequest;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -24,59 +38,99 @@
   public static final ServiceName<EdgeMessage> NAME = ServiceName.of("edge", EdgeMessage.class);
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
-  private static final int MAX_HEADER_BYTES = 16 * 1024;
   private static final int ID_RADIX = 36;
 
   private final RequestPipeline pipeline;
+  private final Address<MetricsMessage> metrics;
+  private final MonotonicClock clock;
+  private final EdgeLimits limits;
+  private final ChannelGroup connections = new DefaultChannelGroup(new DefaultEventExecutor());
   private final DisposableServer server;
   private final String idPrefix;
   private final AtomicLong nextId = new AtomicLong();
 
-  private EdgeService(TaskContext<EdgeMessage> context, Member self, NetworkAddress address) {
+  private EdgeService(
+      TaskContext<EdgeMessage> context, Member self, NetworkAddress address, EdgeLimits limits) {
     this.pipeline =
         new RequestPipeline(self.node(), context.clock(), context.scheduler(), context.registry());
+    this.metrics = context.registry().find(MetricsService.NAME);
+    this.clock = context.clock();
+    this.limits = limits;
     this.idPrefix = self.node() + "-" + Long.toString(self.incarnation(), ID_RADIX) + "-";
     this.server =
         HttpServer.create()
             .host(address.host())
             .port(address.port())
-            .idleTimeout(IDLE_TIMEOUT)
-            .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
+            .idleTimeout(Duration.ofMillis(limits.idleTimeoutMillis()))
+            .readTimeout(Duration.ofMillis(limits.readTimeoutMillis()))
+            .httpRequestDecoder(spec -> spec.maxHeaderSize(limits.maxHeaderBytes()))
+            .channelGroup(connections)
             .handle(this::handle)
             .bindNow();
   }
 
   /** Defines the service on a node. */
-  public static ServiceDefinition<EdgeMessage> definition(Member self, NetworkAddress address) {
+  public static ServiceDefinition<EdgeMessage> definition(
+      Member self, NetworkAddress address, EdgeLimits limits) {
     return new ServiceDefinition<>(
         NAME,
         ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
-        context -> new EdgeService(context, self, address));
+        context -> new EdgeService(context, self, address, limits));
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    long startedNanos = clock.nowNanos();
     RequestId id = new RequestId(idPrefix + Long.toString(nextId.incrementAndGet(), ID_RADIX));
-    Flux<Chunk> body = request.receive().asByteArray().map(Chunk::owning);
-    return pipeline
-        .run(RequestReader.read(id, request), new UploadBody(body))
-        .flatMap(
-            answer ->
-                Flux.from(AnswerWriter.write(id, request, response, answer))
-                    .doOnError(
-                        error ->
-                            logger.atWarning().log(
-                                "event=answer-cut request=%s detail=%s", id, error))
-                    .then());
+    ArrivedRequest arrived = RequestReader.read(id, request);
+    UploadBody body =
+        new UploadBody(request.receive().asByteArray().map(Chunk::owning), limits.maxBodyBytes());
+    return body.check(arrived.bodyBytes())
+        .map(failure -> Mono.just(Either.<Failure, Answer>left(failure)))
+        .getOrElse(() -> pipeline.run(arrived, body))
+        .flatMap(answer -> write(id, request, response, answer, startedNanos));
+  }
+
+  private Mono<Void> write(
+      RequestId id,
+      HttpServerRequest request,
+      HttpServerResponse response,
+      Either<Failure, Answer> answer,
+      long startedNanos) {
+    int result = answer.fold(failure -> failure.code().number(), whole -> 0);
+    metrics.send(new MetricsMessage.Counted("edge.result." + result));
+    return Flux.from(AnswerWriter.write(id, request, response, answer))
+        .doOnError(error -> cut(id, error))
+        .doFinally(signal -> metrics.send(timed(startedNanos)))
+        .then();
+  }
+
+  private MetricsMessage timed(long startedNanos) {
+    long micros = TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - startedNanos);
+    return new MetricsMessage.Timed("edge.request", micros);
+  }
+
+  private void cut(RequestId id, Throwable error) {
+    metrics.send(new MetricsMessage.Counted("edge.answers-cut"));
+    logger.atWarning().log("event=answer-cut request=%s detail=%s", id, error);
   }
 
   @Override
   public void receive(EdgeMessage message) {
+    if (message instanceof EdgeMessage.Stop stop) {
+      stop(stop);
+      return;
+    }
     ((EdgeMessage.PortAsked) message).reply().send(server.port());
   }
 
+  private void stop(EdgeMessage.Stop stop) {
+    server.dispose();
+    server.onDispose().subscribe(nothing -> {}, error -> {}, () -> stop.ended().send(true));
+  }
+
   @Override
   public void stop() {
-    server.disposeNow();
+    server.dispose();
+    connections.close();
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** What the node counts and measures. */
+package org.clementinepost.node.metrics;
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/operator/NodeStatus.java
@@ -0,0 +1,35 @@
+package org.clementinepost.node.operator;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.clementinepost.api.Member;
+
+/**
+ * The state of a node as operators see it.
+ *
+ * @param self the node
+ * @param configurationVersion the version in force; zero before the first
+ * @param otherNodes the other nodes that it knows
+ * @param stopping whether it has begun to stop
+ */
+public record NodeStatus(Member self, long configurationVersion, int otherNodes, boolean stopping) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Whether callers should be sent to this node. */
+  public boolean ready() {
+    return configurationVersion > 0 && !stopping;
+  }
+
+  String json() {
+    return MAPPER
+        .createObjectNode()
+        .put("node", self.node().value())
+        .put("incarnation", self.incarnation())
+        .put("failureDomain", self.domain().value())
+        .put("peerAddress", self.peerAddress().toString())
+        .put("configurationVersion", configurationVersion)
+        .put("otherNodes", otherNodes)
+        .put("stopping", stopping)
+        .put("ready", ready())
+        .toString();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
@@ -0,0 +1,144 @@
+package org.clementinepost.node.operator;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.node.configuration.ConfigurationMessage;
+import org.clementinepost.node.configuration.ConfigurationService;
+import org.clementinepost.node.membership.MembershipMessage;
+import org.clementinepost.node.membership.MembershipService;
+import org.clementinepost.node.metrics.JsonFormat;
+import org.clementinepost.node.metrics.MetricsFormat;
+import org.clementinepost.node.metrics.MetricsMessage;
+import org.clementinepost.node.metrics.MetricsService;
+import org.clementinepost.node.metrics.ScrapeFormat;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** Owns the port for operators. */
+public final class OperatorService implements Behaviour<OperatorMessage> {
+  /** The name by which the service is found. */
+  public static final ServiceName<OperatorMessage> NAME =
+      ServiceName.of("operator", OperatorMessage.class);
+
+  private static final String JSON = "application/json";
+  private static final String TEXT = "text/plain; version=0.0.4";
+  private static final int OK_STATUS = 200;
+  private static final int UNAVAILABLE_STATUS = 503;
+
+  private final TaskContext<OperatorMessage> context;
+  private final Address<MetricsMessage> metrics;
+  private final DisposableServer server;
+  private NodeStatus status;
+
+  private OperatorService(
+      TaskContext<OperatorMessage> context, Member self, NetworkAddress address) {
+    this.context = context;
+    this.metrics = context.registry().find(MetricsService.NAME);
+    this.status = new NodeStatus(self, 0, 0, false);
+    this.server =
+        HttpServer.create().host(address.host()).port(address.port()).route(this::route).bindNow();
+    context
+        .registry()
+        .find(ConfigurationService.NAME)
+        .send(
+            new ConfigurationMessage.Subscribe(
+                snapshot -> context.self().send(new OperatorMessage.Configured(snapshot))));
+    context
+        .registry()
+        .find(MembershipService.NAME)
+        .send(
+            new MembershipMessage.Subscribe(
+                others -> context.self().send(new OperatorMessage.Members(others))));
+  }
+
+  /** Defines the service on a node. */
+  public static ServiceDefinition<OperatorMessage> definition(Member self, NetworkAddress address) {
+    return new ServiceDefinition<>(
+        NAME,
+        ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
+        context -> new OperatorService(context, self, address));
+  }
+
+  private void route(HttpServerRoutes routes) {
+    routes
+        .get(
+            "/health", (request, response) -> respond(response, OK_STATUS, TEXT, Mono.just("ok\n")))
+        .get("/ready", (request, response) -> ready(response))
+        .get("/status", (request, response) -> status(response))
+        .get("/metrics", (request, response) -> metrics(response, TEXT, ScrapeFormat::render))
+        .get("/metrics.json", (request, response) -> metrics(response, JSON, JsonFormat::render));
+  }
+
+  private Publisher<Void> ready(HttpServerResponse response) {
+    return askStatus()
+        .flatMap(
+            now ->
+                Mono.from(
+                    respond(
+                        response,
+                        now.ready() ? OK_STATUS : UNAVAILABLE_STATUS,
+                        JSON,
+                        Mono.just(now.json()))));
+  }
+
+  private Publisher<Void> status(HttpServerResponse response) {
+    return respond(response, OK_STATUS, JSON, askStatus().map(NodeStatus::json));
+  }
+
+  private Mono<NodeStatus> askStatus() {
+    return Mono.create(sink -> context.self().send(new OperatorMessage.StatusAsked(sink::success)));
+  }
+
+  private Publisher<Void> metrics(HttpServerResponse response, String type, MetricsFormat format) {
+    Mono<String> text =
+        Mono.create(sink -> metrics.send(new MetricsMessage.Render(format, sink::success)));
+    return respond(response, OK_STATUS, type, text);
+  }
+
+  private static Publisher<Void> respond(
+      HttpServerResponse response, int httpStatus, String type, Mono<String> body) {
+    return response.status(httpStatus).header(HttpHeaderNames.CONTENT_TYPE, type).sendString(body);
+  }
+
+  @Override
+  public void receive(OperatorMessage message) {
+    if (message instanceof OperatorMessage.Configured configured) {
+      long version = configured.snapshot().version();
+      status = new NodeStatus(status.self(), version, status.otherNodes(), status.stopping());
+      metrics.send(new MetricsMessage.Measured("configuration.version", version));
+      return;
+    }
+    if (message instanceof OperatorMessage.Members members) {
+      int others = members.others().size();
+      status =
+          new NodeStatus(status.self(), status.configurationVersion(), others, status.stopping());
+      metrics.send(new MetricsMessage.Measured("membership.other-nodes", others));
+      return;
+    }
+    if (message instanceof OperatorMessage.Stopping) {
+      status =
+          new NodeStatus(status.self(), status.configurationVersion(), status.otherNodes(), true);
+      return;
+    }
+    if (message instanceof OperatorMessage.StatusAsked asked) {
+      asked.reply().send(status);
+      return;
+    }
+    ((OperatorMessage.PortAsked) message).reply().send(server.port());
+  }
+
+  @Override
+  public void stop() {
+    server.disposeNow();
+  }
+}
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
@@ -4,6 +4,7 @@
 import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.NodeId;
+import org.clementinepost.platform.PlatformSettings;
 
 /**
  * What a node is told at its start.
@@ -15,7 +16,10 @@
  * @param announce where backend servers announce themselves
  * @param operator where operators read its health and metrics
  * @param platform where the platform is; none runs on a platform kept in memory
+ * @param embeddedObjectsFolder the objects that a platform kept in memory starts with
  * @param connectionsPerServer connections that it opens to one backend server
+ * @param edge the limits at the callers' port
+ * @param stopTimeoutMillis how long a planned stop waits for requests in hand
  */
 public record NodeSettings(
     NodeId node,
@@ -24,14 +28,20 @@
     NetworkAddress peer,
     NetworkAddress announce,
     NetworkAddress operator,
-    Option<PlatformAddress> platform,
-    int connectionsPerServer) {
+    Option<PlatformSettings> platform,
+    Option<String> embeddedObjectsFolder,
+    int connectionsPerServer,
+    EdgeLimits edge,
+    long stopTimeoutMillis) {
 
   /**
-   * Where the platform is.
+   * The limits at the callers' port.
    *
-   * @param tableUrl the table service
-   * @param objectsUrl the object store
+   * @param maxHeaderBytes the size of a request's header fields
+   * @param maxBodyBytes the size of a request's body
+   * @param idleTimeoutMillis how long a connection may rest between requests
+   * @param readTimeoutMillis how long a caller may send nothing within a request
    */
-  public record PlatformAddress(String tableUrl, String objectsUrl) {}
+  public record EdgeLimits(
+      int maxHeaderBytes, long maxBodyBytes, long idleTimeoutMillis, long readTimeoutMillis) {}
 }
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
@@ -1,61 +1,95 @@
 package org.clementinepost.node.settings;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import io.vavr.control.Try;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import org.clementinepost.api.Failure;
 import org.clementinepost.api.FailureDomainId;
-import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.platform.PlatformSettings;
 
-/** Reads the settings file. */
+/** Reads and checks the settings file. */
 public final class NodeSettingsReader {
-  private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final int DEFAULT_CONNECTIONS_PER_SERVER = 350;
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
 
   private NodeSettingsReader() {}
 
-  /** Reads and checks a file. */
-  public static Either<Failure, NodeSettings> read(Path file) {
-    return Try.of(() -> settings(MAPPER.readTree(Files.readAllBytes(file))))
-        .toEither()
-        .mapLeft(
-            error -> Failure.of(ResultCode.SETTINGS_UNREADABLE, file + ": " + error.getMessage()));
+  /** Reads a file; gives either the settings or everything that is wrong with them. */
+  public static Either<Vector<SettingsFinding>, NodeSettings> read(Path file) {
+    try {
+      return parse(Files.readString(file));
+    } catch (IOException e) {
+      return unreadable(String.valueOf(e.getMessage()));
+    }
   }
 
-  private static NodeSettings settings(JsonNode root) {
-    return new NodeSettings(
-        new NodeId(text(root, "nodeId")),
-        new FailureDomainId(text(root, "failureDomain")),
-        address(root, "ingress"),
-        address(root, "peer"),
-        address(root, "announce"),
-        address(root, "operator"),
-        platform(root.path("platform")),
-        root.path("connectionsPerServer").asInt(DEFAULT_CONNECTIONS_PER_SERVER));
+  /** Reads a text; gives either the settings or everything that is wrong with them. */
+  public static Either<Vector<SettingsFinding>, NodeSettings> parse(String json) {
+    try {
+      JsonNode root = MAPPER.readTree(json);
+      if (root == null || !root.isObject()) {
+        return unreadable("the file holds no JSON object");
+      }
+      SettingsDocument document = new SettingsDocument(root);
+      Vector<SettingsFinding> findings = document.findings();
+      return findings.isEmpty() ? Either.right(settings(document)) : Either.left(findings);
+    } catch (IOException e) {
+      return unreadable(firstLine(String.valueOf(e.getMessage())));
+    }
+  }
+
+  private static String firstLine(String text) {
+    int end = text.indexOf('\n');
+    return end < 0 ? text : text.substring(0, end);
+  }
+
+  private static Either<Vector<SettingsFinding>, NodeSettings> unreadable(String hint) {
+    return Either.left(
+        Vector.of(new SettingsFinding(ResultCode.SETTINGS_UNREADABLE, "(file)", hint)));
   }
 
-  private static Option<NodeSettings.PlatformAddress> platform(JsonNode node) {
-    return node.isMissingNode()
-        ? Option.none()
-        : Option.some(
-            new NodeSettings.PlatformAddress(text(node, "tableUrl"), text(node, "objectsUrl")));
+  private static NodeSettings settings(SettingsDocument document) {
+    return new NodeSettings(
+        new NodeId(document.text(SettingsCatalog.NODE_ID)),
+        new FailureDomainId(document.text(SettingsCatalog.FAILURE_DOMAIN)),
+        document.address(SettingsCatalog.INGRESS),
+        document.address(SettingsCatalog.PEER),
+        document.address(SettingsCatalog.ANNOUNCE),
+        document.address(SettingsCatalog.OPERATOR),
+        platform(document),
+        Option.some(document.text(SettingsCatalog.PLATFORM_OBJECTS_FOLDER))
+            .filter(folder -> !folder.isEmpty()),
+        (int) document.number(SettingsCatalog.CONNECTIONS_PER_SERVER),
+        edgeLimits(document),
+        document.number(SettingsCatalog.STOP_TIMEOUT));
   }
 
-  private static NetworkAddress address(JsonNode root, String field) {
-    return NetworkAddress.parse(text(root, field));
+  private static NodeSettings.EdgeLimits edgeLimits(SettingsDocument document) {
+    return new NodeSettings.EdgeLimits(
+        (int) document.number(SettingsCatalog.MAX_HEADER_BYTES),
+        document.number(SettingsCatalog.MAX_BODY_BYTES),
+        document.number(SettingsCatalog.IDLE_TIMEOUT),
+        document.number(SettingsCatalog.READ_TIMEOUT));
   }
 
-  private static String text(JsonNode node, String field) {
-    JsonNode value = node.path(field);
-    if (!value.isTextual()) {
-      throw new IllegalArgumentException(field + " is missing or not a text");
+  private static Option<PlatformSettings> platform(SettingsDocument document) {
+    if (document.flag(SettingsCatalog.PLATFORM_EMBEDDED)) {
+      return Option.none();
     }
-    return value.asText();
+    return Option.some(
+        PlatformSettings.builder()
+            .tableUrl(document.text(SettingsCatalog.PLATFORM_TABLE_URL))
+            .objectsUrl(document.text(SettingsCatalog.PLATFORM_OBJECTS_URL))
+            .tableName(document.text(SettingsCatalog.PLATFORM_TABLE_NAME))
+            .bucketName(document.text(SettingsCatalog.PLATFORM_BUCKET_NAME))
+            .requestTimeoutMillis(document.number(SettingsCatalog.PLATFORM_REQUEST_TIMEOUT))
+            .build());
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
@@ -0,0 +1,132 @@
+package org.clementinepost.node.settings;
+
+import io.vavr.collection.Vector;
+import org.clementinepost.node.settings.Setting.Kind;
+
+/** Every setting of a node; the reader, the check and the documentation all follow this list. */
+final class SettingsCatalog {
+  static final Setting NODE_ID =
+      Setting.required(
+          "nodeId", Kind.TEXT, "The node's name, one of a kind in the fleet and kept at restarts.");
+  static final Setting FAILURE_DOMAIN =
+      Setting.required("failureDomain", Kind.TEXT, "The failure domain that the node runs in.");
+  static final Setting INGRESS =
+      Setting.required("ingress", Kind.ADDRESS, "Where callers' requests are taken.");
+  static final Setting PEER =
+      Setting.required(
+          "peer", Kind.ADDRESS, "Where other nodes connect; it must be reachable from them.");
+  static final Setting ANNOUNCE =
+      Setting.required(
+          "announce", Kind.ADDRESS, "Where the backend servers of this VM announce themselves.");
+  static final Setting OPERATOR =
+      Setting.required(
+          "operator", Kind.ADDRESS, "Where operators read health, readiness, status and metrics.");
+  static final Setting PLATFORM_EMBEDDED =
+      Setting.optional(
+          "platform.embedded",
+          Kind.FLAG,
+          "false",
+          "Whether the node keeps a platform of its own in memory; for a single node only.");
+  static final Setting PLATFORM_OBJECTS_FOLDER =
+      Setting.optional(
+          "platform.objectsFolder",
+          Kind.TEXT,
+          "",
+          "The folder of objects that a node with an embedded platform publishes at its start.");
+  static final Setting PLATFORM_TABLE_URL =
+      Setting.optional(
+          "platform.tableUrl", Kind.URL, "", "The table service; needed unless embedded.");
+  static final Setting PLATFORM_OBJECTS_URL =
+      Setting.optional(
+          "platform.objectsUrl", Kind.URL, "", "The object store; needed unless embedded.");
+  static final Setting PLATFORM_TABLE_NAME =
+      Setting.optional(
+          "platform.tableName", Kind.TEXT, "clementinepost", "The table of the fleet's items.");
+  static final Setting PLATFORM_BUCKET_NAME =
+      Setting.optional(
+          "platform.bucketName", Kind.TEXT, "clementinepost", "The bucket of the fleet's objects.");
+  static final Setting PLATFORM_REQUEST_TIMEOUT =
+      Setting.number(
+          "platform.requestTimeoutMillis",
+          "ms",
+          3_000,
+          100,
+          60_000,
+          "How long one request to the platform may take.");
+  static final Setting CONNECTIONS_PER_SERVER =
+      Setting.number(
+          "connectionsPerServer",
+          "connections",
+          350,
+          1,
+          10_000,
+          "Connections that the node opens to one backend server at most.");
+  static final Setting MAX_HEADER_BYTES =
+      Setting.number(
+          "maxHeaderBytes",
+          "bytes",
+          16_384,
+          1_024,
+          1_048_576,
+          "The size of a request's header fields; larger ones are refused.");
+  static final Setting MAX_BODY_BYTES =
+      Setting.number(
+          "maxBodyBytes",
+          "bytes",
+          1_073_741_824,
+          1,
+          1_099_511_627_776L,
+          "The size of a request's body; a larger one is refused or cut off.");
+  static final Setting IDLE_TIMEOUT =
+      Setting.number(
+          "idleTimeoutMillis",
+          "ms",
+          60_000,
+          1_000,
+          3_600_000,
+          "How long a caller's connection may rest between requests.");
+  static final Setting READ_TIMEOUT =
+      Setting.number(
+          "readTimeoutMillis",
+          "ms",
+          20_000,
+          500,
+          600_000,
+          "How long a caller may send nothing while a request is being read.");
+  static final Setting STOP_TIMEOUT =
+      Setting.number(
+          "stopTimeoutMillis",
+          "ms",
+          30_000,
+          0,
+          3_600_000,
+          "How long a planned stop waits for requests in hand.");
+
+  private static final Vector<Setting> ALL =
+      Vector.of(
+          NODE_ID,
+          FAILURE_DOMAIN,
+          INGRESS,
+          PEER,
+          ANNOUNCE,
+          OPERATOR,
+          PLATFORM_EMBEDDED,
+          PLATFORM_OBJECTS_FOLDER,
+          PLATFORM_TABLE_URL,
+          PLATFORM_OBJECTS_URL,
+          PLATFORM_TABLE_NAME,
+          PLATFORM_BUCKET_NAME,
+          PLATFORM_REQUEST_TIMEOUT,
+          CONNECTIONS_PER_SERVER,
+          MAX_HEADER_BYTES,
+          MAX_BODY_BYTES,
+          IDLE_TIMEOUT,
+          READ_TIMEOUT,
+          STOP_TIMEOUT);
+
+  private SettingsCatalog() {}
+
+  static Vector<Setting> all() {
+    return ALL;
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/settings/NodeSettingsReaderTest.java
@@ -0,0 +1,84 @@
+package org.clementinepost.node.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import org.clementinepost.api.ResultCode;
+import org.junit.jupiter.api.Test;
+
+final class NodeSettingsReaderTest {
+  private static final String WHOLE =
+      """
+      {"nodeId": "node-1", "failureDomain": "kgn-a",
+       "ingress": "127.0.0.1:0", "peer": "127.0.0.1:0",
+       "announce": "127.0.0.1:0", "operator": "127.0.0.1:0",
+       "platform": {"embedded": true}%s}
+      """;
+
+  private static Vector<SettingsFinding> findings(String json) {
+    Either<Vector<SettingsFinding>, NodeSettings> read = NodeSettingsReader.parse(json);
+    return read.isLeft() ? read.getLeft() : Vector.empty();
+  }
+
+  @Test
+  void aWholeFileIsReadWithItsDefaults() {
+    NodeSettings settings = NodeSettingsReader.parse(WHOLE.formatted("")).get();
+    assertThat(settings.node().value()).isEqualTo("node-1");
+    assertThat(settings.connectionsPerServer()).isEqualTo(350);
+    assertThat(settings.platform()).isEmpty();
+  }
+
+  @Test
+  void everythingThatIsWrongIsToldAtOnce() {
+    Vector<SettingsFinding> findings =
+        findings(
+            """
+            {"nodeId": "", "failureDomain": 7, "ingress": "nowhere", "peer": "127.0.0.1:0",
+             "announce": "127.0.0.1:0", "idleTimeoutMillis": 5, "platfrom": {}}
+            """);
+    assertThat(findings.map(SettingsFinding::path))
+        .containsExactlyInAnyOrder(
+            "platfrom",
+            "nodeId",
+            "failureDomain",
+            "ingress",
+            "operator",
+            "idleTimeoutMillis",
+            "platform.tableUrl",
+            "platform.objectsUrl");
+  }
+
+  @Test
+  void anUnknownSettingInASectionIsFound() {
+    assertThat(findings(WHOLE.replace("true}", "true, \"tabelUrl\": \"x\"}").formatted("")))
+        .extracting(SettingsFinding::path, SettingsFinding::code)
+        .containsExactly(tuple("platform.tabelUrl", ResultCode.SETTING_UNKNOWN));
+  }
+
+  @Test
+  void aNumberOfTheWrongKindOrOutOfItsBoundsIsFound() {
+    assertThat(findings(WHOLE.formatted(", \"connectionsPerServer\": 0"))).hasSize(1);
+    assertThat(findings(WHOLE.formatted(", \"connectionsPerServer\": \"350\""))).hasSize(1);
+    assertThat(findings(WHOLE.formatted(", \"connectionsPerServer\": 3.5"))).hasSize(1);
+    assertThat(findings(WHOLE.formatted(", \"connectionsPerServer\": 10000"))).isEmpty();
+  }
+
+  @Test
+  void aFileThatIsNotJsonIsOneFinding() {
+    assertThat(findings("{\"nodeId\": ").map(SettingsFinding::code))
+        .containsExactly(ResultCode.SETTINGS_UNREADABLE);
+    assertThat(findings("[]").map(SettingsFinding::code))
+        .containsExactly(ResultCode.SETTINGS_UNREADABLE);
+    assertThat(findings("{\"nodeId\": \"a\", \"nodeId\": \"b\"}").map(SettingsFinding::code))
+        .containsExactly(ResultCode.SETTINGS_UNREADABLE);
+  }
+
+  @Test
+  void aMissingFileIsOneFinding() {
+    assertThat(NodeSettingsReader.read(Path.of("no-such-file.json")).getLeft().head().code())
+        .isEqualTo(ResultCode.SETTINGS_UNREADABLE);
+  }
+}
--- a/policy/src/main/java/org/clementinepost/policy/access/AccessPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/access/AccessPolicy.java
@@ -27,6 +27,9 @@
 
   /** Decides on one request. */
   public static Either<Failure, RequestHead> decide(Snapshot snapshot, ArrivedRequest request) {
+    if (!SafePath.isSafe(request.path())) {
+      return Either.left(Failure.of(ResultCode.BAD_REQUEST, "path"));
+    }
     Option<Route> route = snapshot.routes().match(request.path());
     if (route.isEmpty()) {
       return Either.left(Failure.of(ResultCode.NO_ROUTE, request.path()));
--- a/policy/src/test/java/org/clementinepost/policy/access/AccessPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/access/AccessPolicyTest.java
@@ -93,6 +93,11 @@
     assertThat(decided.getLeft().code()).isEqualTo(ResultCode.NO_ROUTE);
   }
 
+  @Test
+  void aDotSegmentDoesNotLeaveAnOpenRoute() {
+    assertThat(decide("/status/../a", null).getLeft().code()).isEqualTo(ResultCode.BAD_REQUEST);
+  }
+
   @Test
   void aDeadlineIsTheShorterOfTheCallersAndTheServices() {
     ArrivedRequest hurried =
