--- /dev/null
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/latency/LatencyMain.java
@@ -0,0 +1,111 @@
+package org.clementinepost.benchmarks.latency;
+
+import io.vavr.collection.Vector;
+import java.time.Duration;
+import java.util.Locale;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * Measures targets side by side: the saturation of each, then all of them at the same rate.
+ *
+ * <p>The common rate is half of the smallest saturation, unless one is given. The targets take
+ * turns, so that whatever else the machine does falls on all of them.
+ */
+public final class LatencyMain {
+  private static final int FIRST_RATE = 500;
+  private static final int MAX_RATE = 64_000;
+  private static final double KEEPS_UP = 0.95;
+  private static final double SATURATED_P99_MILLIS = 100;
+  private static final Duration WARM_UP = Duration.ofSeconds(10);
+  private static final Duration PROBE = Duration.ofSeconds(3);
+
+  private final OpenLoopLoad load;
+  private final Duration duration;
+  private final int rounds;
+
+  private LatencyMain(OpenLoopLoad load, Duration duration, int rounds) {
+    this.load = load;
+    this.duration = duration;
+    this.rounds = rounds;
+  }
+
+  /** Runs the measurement. */
+  public static void main(String[] arguments) throws ParseException {
+    CommandLine line = new DefaultParser().parse(options(), arguments);
+    Vector<LoadTarget> targets = Vector.of(line.getOptionValues("target")).map(LoadTarget::parse);
+    OpenLoopLoad load = new OpenLoopLoad(line.getOptionValue("key"));
+    LatencyMain main =
+        new LatencyMain(
+            load,
+            Duration.ofSeconds(Long.parseLong(line.getOptionValue("seconds", "10"))),
+            Integer.parseInt(line.getOptionValue("rounds", "3")));
+    int rate = Integer.parseInt(line.getOptionValue("rate", "0"));
+    main.measure(targets, rate);
+    load.close();
+  }
+
+  private static Options options() {
+    return new Options()
+        .addOption(Option.builder().longOpt("target").hasArgs().required().get())
+        .addOption(Option.builder().longOpt("key").hasArg().required().get())
+        .addOption(Option.builder().longOpt("rate").hasArg().get())
+        .addOption(Option.builder().longOpt("seconds").hasArg().get())
+        .addOption(Option.builder().longOpt("rounds").hasArg().get());
+  }
+
+  private void measure(Vector<LoadTarget> targets, int givenRate) {
+    int rate = givenRate > 0 ? givenRate : warmAndFindRate(targets);
+    System.out.println(
+        "target,round,rate_per_s,achieved_per_s,failed,p50_ms,p90_ms,p99_ms,p999_ms");
+    for (int round = 1; round <= rounds; round++) {
+      for (LoadTarget target : targets) {
+        print(target, round, load.run(target, rate, duration));
+      }
+    }
+  }
+
+  private int warmAndFindRate(Vector<LoadTarget> targets) {
+    for (LoadTarget target : targets) {
+      load.run(target, FIRST_RATE, WARM_UP);
+    }
+    int smallest = targets.map(this::saturation).min().get();
+    System.out.println("common_rate_per_s," + smallest / 2);
+    return smallest / 2;
+  }
+
+  private int saturation(LoadTarget target) {
+    int reached = FIRST_RATE / 2;
+    for (int rate = FIRST_RATE; rate <= MAX_RATE; rate = rate * 3 / 2) {
+      LoadResult result = load.run(target, rate, PROBE);
+      boolean keepsUp =
+          result.failed() == 0
+              && result.achievedPerSecond() >= rate * KEEPS_UP
+              && result.percentileMillis(99) < SATURATED_P99_MILLIS;
+      if (!keepsUp) {
+        break;
+      }
+      reached = rate;
+    }
+    System.out.println("saturation_per_s," + target.name() + "," + reached);
+    return reached;
+  }
+
+  private static void print(LoadTarget target, int round, LoadResult result) {
+    System.out.printf(
+        Locale.ROOT,
+        "%s,%d,%d,%.0f,%d,%.3f,%.3f,%.3f,%.3f%n",
+        target.name(),
+        round,
+        result.requestsPerSecond(),
+        result.achievedPerSecond(),
+        result.failed(),
+        result.percentileMillis(50),
+        result.percentileMillis(90),
+        result.percentileMillis(99),
+        result.percentileMillis(99.9));
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/latency/OpenLoopLoad.java
@@ -0,0 +1,103 @@
+package org.clementinepost.benchmarks.latency;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.LongStream;
+import org.HdrHistogram.ConcurrentHistogram;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Sends requests at a fixed rate, whether or not the answers keep up.
+ *
+ * <p>A latency is counted from the instant at which the request was due, not from the one at which
+ * it was sent, so that a stall is seen by every request that it held up.
+ */
+final class OpenLoopLoad {
+  private static final long TICK_MILLIS = 1;
+  private static final int MAX_CONNECTIONS = 64;
+  private static final int MAX_WAITING = 100_000;
+  private static final int OK_STATUS = 200;
+  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
+  private static final long MAX_TRACKED_MICROS = TimeUnit.SECONDS.toMicros(60);
+
+  private final HttpClient client;
+  private final ConnectionProvider connections;
+
+  OpenLoopLoad(String key) {
+    connections =
+        ConnectionProvider.builder("load")
+            .maxConnections(MAX_CONNECTIONS)
+            .pendingAcquireMaxCount(MAX_WAITING)
+            .build();
+    client =
+        HttpClient.create(connections)
+            .headers(headers -> headers.set("authorization", "Bearer " + key));
+  }
+
+  LoadResult run(LoadTarget target, int requestsPerSecond, Duration duration) {
+    ConcurrentHistogram micros = new ConcurrentHistogram(MAX_TRACKED_MICROS, 3);
+    LongAdder answered = new LongAdder();
+    LongAdder failed = new LongAdder();
+    long startNanos = System.nanoTime();
+    long total = requestsPerSecond * duration.toSeconds();
+    double nanosPerRequest = (double) TimeUnit.SECONDS.toNanos(1) / requestsPerSecond;
+    Flux.interval(Duration.ZERO, Duration.ofMillis(TICK_MILLIS))
+        .onBackpressureDrop()
+        .map(tick -> due(startNanos, nanosPerRequest, total))
+        .scan(new Batch(0, 0), Batch::next)
+        .takeUntil(batch -> batch.to() >= total)
+        .concatMapIterable(Batch::numbers)
+        .flatMap(
+            number ->
+                send(target)
+                    .doOnNext(
+                        ok -> {
+                          long dueNanos = startNanos + (long) (number * nanosPerRequest);
+                          long tookMicros =
+                              TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - dueNanos);
+                          micros.recordValue(Math.min(tookMicros, MAX_TRACKED_MICROS));
+                          (ok ? answered : failed).increment();
+                        }),
+            MAX_WAITING)
+        .blockLast();
+    long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    return new LoadResult(requestsPerSecond, answered.sum(), failed.sum(), elapsedMillis, micros);
+  }
+
+  private static long due(long startNanos, double nanosPerRequest, long total) {
+    long elapsedNanos = System.nanoTime() - startNanos;
+    return Math.min(total, (long) (elapsedNanos / nanosPerRequest) + 1);
+  }
+
+  private Mono<Boolean> send(LoadTarget target) {
+    return client
+        .get()
+        .uri(target.url())
+        .responseSingle(
+            (response, body) ->
+                body.asByteArray()
+                    .map(bytes -> response.status().code() == OK_STATUS)
+                    .defaultIfEmpty(response.status().code() == OK_STATUS))
+        .timeout(REQUEST_TIMEOUT)
+        .onErrorReturn(false);
+  }
+
+  void close() {
+    connections.dispose();
+  }
+
+  /** The numbers of the requests that have become due since the tick before. */
+  private record Batch(long from, long to) {
+    Batch next(long due) {
+      return new Batch(to, Math.max(to, due));
+    }
+
+    Iterable<Long> numbers() {
+      return () -> LongStream.range(from, to).iterator();
+    }
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/latency/package-info.java
@@ -0,0 +1,2 @@
+/** What the fleet adds to a request, measured on running processes. */
+package org.clementinepost.benchmarks.latency;
--- /dev/null
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements that anyone can run again. */
+package org.clementinepost.benchmarks;
