--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/system/PlannedStopProcessTest.java
@@ -0,0 +1,58 @@
+package org.clementinepost.node.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.Vector;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class PlannedStopProcessTest {
+  private static final int CALLERS = 8;
+  private static final long LOAD_BEFORE_MILLIS = 500;
+
+  @TempDir private Path folder;
+  private ProcessFleet fleet;
+
+  @BeforeEach
+  void start() throws Exception {
+    fleet = ProcessFleet.start(folder, 3);
+  }
+
+  @AfterEach
+  void stop() {
+    fleet.close();
+  }
+
+  @Test
+  void aHostStoppedAsPlannedCutsNoRequestOfCallersElsewhere() throws Exception {
+    AtomicBoolean stopped = new AtomicBoolean();
+    Vector<CompletableFuture<Vector<Integer>>> callers =
+        Vector.range(0, CALLERS)
+            .map(i -> CompletableFuture.supplyAsync(() -> statuses("node-1", stopped)));
+    Thread.sleep(LOAD_BEFORE_MILLIS);
+    fleet.node("node-3").terminate();
+    stopped.set(true);
+    for (CompletableFuture<Vector<Integer>> caller : callers) {
+      assertThat(caller.get()).isNotEmpty().containsOnly(200);
+    }
+  }
+
+  private Vector<Integer> statuses(String node, AtomicBoolean stopped) {
+    Vector<Integer> statuses = Vector.empty();
+    while (!stopped.get()) {
+      try {
+        HttpResponse<String> answer = fleet.get(node, "/hello");
+        statuses = statuses.append(answer.statusCode());
+      } catch (Exception e) {
+        statuses = statuses.append(0);
+      }
+    }
+    return statuses;
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/system/ProcessFleet.java
@@ -0,0 +1,222 @@
+package org.clementinepost.node.system;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import org.clementinepost.api.CustomerId;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.config.Customer;
+import org.clementinepost.api.config.Key;
+import org.clementinepost.api.config.Route;
+import org.clementinepost.api.config.RouteTable;
+import org.clementinepost.api.config.Service;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.node.NodeMain;
+import org.clementinepost.platform.HttpPlatform;
+import org.clementinepost.platform.PlatformSettings;
+import org.clementinepost.platform.config.ConfigurationStore;
+import org.clementinepost.testing.backend.BackendServerStandInMain;
+import org.clementinepost.testing.platform.PlatformStandInMain;
+
+/**
+ * A small fleet of real processes: the platform's stand-in, nodes, and a backend server at each.
+ */
+final class ProcessFleet implements AutoCloseable {
+  static final String KEY = "demo-key";
+  static final String SERVICE = "echo";
+
+  private static final CustomerId CUSTOMER = new CustomerId("customer-1");
+  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(30);
+  private static final int CONSECUTIVE_ANSWERS = 20;
+  private static final int MAX_TRIES = 600;
+  private static final long TRY_MILLIS = 100;
+
+  private final Path folder;
+  private final RunningProcess platform;
+  private final HttpClient client = HttpClient.newHttpClient();
+  private Map<String, RunningProcess> nodes = HashMap.empty();
+  private Map<String, RunningProcess> servers = HashMap.empty();
+
+  private ProcessFleet(Path folder, RunningProcess platform) {
+    this.folder = folder;
+    this.platform = platform;
+  }
+
+  /** Starts a fleet with a configuration and waits until every node serves. */
+  static ProcessFleet start(Path folder, int nodeCount) throws Exception {
+    RunningProcess platform =
+        RunningProcess.start(
+            folder.resolve("platform.log"), PlatformStandInMain.class, "--port", "0");
+    ProcessFleet fleet = new ProcessFleet(folder, platform);
+    fleet.publish(snapshot(1));
+    for (int i = 1; i <= nodeCount; i++) {
+      fleet.startNode("node-" + i, "domain-" + i);
+      fleet.startServer("server-" + i, "node-" + i);
+    }
+    for (String node : fleet.nodes.keySet()) {
+      fleet.awaitServing(node);
+    }
+    return fleet;
+  }
+
+  static Snapshot snapshot(long version) {
+    ServiceId service = new ServiceId(SERVICE);
+    Key key = new Key("key-1", CUSTOMER, sha256Hex(KEY));
+    return new Snapshot(
+        version,
+        HashMap.of(CUSTOMER, new Customer(CUSTOMER, 10_000, 10_000, 1)),
+        HashMap.of(key.sha256Hex(), key),
+        HashMap.of(service, new Service(service, 50, 1, 10_000, 0, 1)),
+        HashMap.empty(),
+        RouteTable.empty()
+            .with(new Route("all", "/", service, false, HashSet.empty()))
+            .with(new Route("open", "/open", service, true, HashSet.empty())),
+        HashMap.empty());
+  }
+
+  private static String sha256Hex(String text) {
+    try {
+      return HexFormat.of()
+          .formatHex(
+              MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  void publish(Snapshot snapshot) {
+    HttpPlatform http =
+        HttpPlatform.of(
+            PlatformSettings.builder()
+                .tableUrl(platform.text("tableUrl"))
+                .objectsUrl(platform.text("objectsUrl"))
+                .build());
+    new ConfigurationStore(http.platform()).publish(snapshot, "test").block().get();
+    http.dispose();
+  }
+
+  void startNode(String name, String domain) throws IOException {
+    ObjectNode settings = new ObjectMapper().createObjectNode();
+    settings.put("nodeId", name).put("failureDomain", domain);
+    for (String port : Vector.of("ingress", "peer", "announce", "operator")) {
+      settings.put(port, "127.0.0.1:0");
+    }
+    settings
+        .putObject("platform")
+        .put("tableUrl", platform.text("tableUrl"))
+        .put("objectsUrl", platform.text("objectsUrl"));
+    Path file = Files.writeString(folder.resolve(name + ".json"), settings.toString());
+    nodes =
+        nodes.put(
+            name,
+            RunningProcess.start(
+                folder.resolve(name + ".log"), NodeMain.class, "--settings", file.toString()));
+  }
+
+  void startServer(String name, String node) throws IOException {
+    servers =
+        servers.put(
+            name,
+            RunningProcess.start(
+                folder.resolve(name + ".log"),
+                BackendServerStandInMain.class,
+                "--id",
+                name,
+                "--service",
+                SERVICE,
+                "--slots",
+                "100",
+                "--announce",
+                "http://127.0.0.1:" + node(node).port("announce")));
+  }
+
+  RunningProcess node(String name) {
+    return nodes.get(name).get();
+  }
+
+  RunningProcess server(String name) {
+    return servers.get(name).get();
+  }
+
+  RunningProcess platform() {
+    return platform;
+  }
+
+  Vector<String> nodeNames() {
+    return nodes.keySet().toVector().sorted();
+  }
+
+  URI uri(String node, String path) {
+    return URI.create("http://127.0.0.1:" + node(node).port("ingress") + path);
+  }
+
+  HttpRequest.Builder request(String node, String path) {
+    return HttpRequest.newBuilder(uri(node, path))
+        .header("Authorization", "Bearer " + KEY)
+        .timeout(REQUEST_TIMEOUT);
+  }
+
+  HttpResponse<String> get(String node, String path) throws Exception {
+    return send(request(node, path).build());
+  }
+
+  HttpResponse<String> send(HttpRequest request) throws Exception {
+    return client.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  HttpClient client() {
+    return client;
+  }
+
+  /** What a backend server has seen. */
+  String received(String server) throws Exception {
+    return send(HttpRequest.newBuilder(URI.create(server(server).text("url") + "/received"))
+            .build())
+        .body();
+  }
+
+  /** Waits until a node has answered many requests in a row. */
+  void awaitServing(String node) throws Exception {
+    int inARow = 0;
+    for (int tries = 0; tries < MAX_TRIES; tries++) {
+      inARow = answers(node) ? inARow + 1 : 0;
+      if (inARow >= CONSECUTIVE_ANSWERS) {
+        return;
+      }
+      if (inARow == 0) {
+        Thread.sleep(TRY_MILLIS);
+      }
+    }
+    throw new IllegalStateException(node + " does not serve");
+  }
+
+  private boolean answers(String node) throws Exception {
+    try {
+      return get(node, "/ping").statusCode() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  @Override
+  public void close() {
+    servers.values().forEach(RunningProcess::close);
+    nodes.values().forEach(RunningProcess::close);
+    platform.close();
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/system/RunningProcess.java
@@ -0,0 +1,85 @@
+package org.clementinepost.node.system;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.collection.Vector;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/** One process of the system under test. */
+final class RunningProcess implements AutoCloseable {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String LISTENING = "listening ";
+  private static final long STOP_LIMIT_SECONDS = 60;
+
+  private final Process process;
+  private final JsonNode listening;
+
+  private RunningProcess(Process process, JsonNode listening) {
+    this.process = process;
+    this.listening = listening;
+  }
+
+  /** Starts a main class and waits until it says where it listens. */
+  static RunningProcess start(Path log, Class<?> main, String... arguments) throws IOException {
+    Vector<String> command =
+        Vector.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx192m",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                main.getName())
+            .appendAll(Vector.of(arguments));
+    Process process = new ProcessBuilder(command.asJava()).redirectError(log.toFile()).start();
+    BufferedReader out =
+        new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+    for (String line = out.readLine(); line != null; line = out.readLine()) {
+      if (line.startsWith(LISTENING)) {
+        return new RunningProcess(process, MAPPER.readTree(line.substring(LISTENING.length())));
+      }
+    }
+    throw new IOException(main.getSimpleName() + " ended before it listened; see " + log);
+  }
+
+  String text(String field) {
+    return listening.path(field).asText();
+  }
+
+  int port(String field) {
+    return listening.path(field).asInt();
+  }
+
+  void kill() {
+    process.destroyForcibly().onExit().join();
+  }
+
+  /** Asks the process to stop and waits until it has. */
+  void terminate() throws InterruptedException {
+    process.destroy();
+    if (!process.waitFor(STOP_LIMIT_SECONDS, TimeUnit.SECONDS)) {
+      throw new IllegalStateException("the process did not stop");
+    }
+  }
+
+  void freeze() throws IOException, InterruptedException {
+    signal("STOP");
+  }
+
+  void resume() throws IOException, InterruptedException {
+    signal("CONT");
+  }
+
+  private void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+  }
+
+  @Override
+  public void close() {
+    kill();
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/system/WholePathProcessTest.java
@@ -0,0 +1,93 @@
+package org.clementinepost.node.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.Random;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class WholePathProcessTest {
+  private static final int UPLOAD_BYTES = 20_000_000;
+  private static final long SEED = 20_261_204;
+
+  @TempDir private static Path folder;
+  private static ProcessFleet fleet;
+
+  @BeforeAll
+  static void start() throws Exception {
+    fleet = ProcessFleet.start(folder, 3);
+  }
+
+  @AfterAll
+  static void stop() {
+    fleet.close();
+  }
+
+  @Test
+  void aKeyGetsTheWholeAnswerThroughEveryNode() throws Exception {
+    for (String node : fleet.nodeNames()) {
+      HttpResponse<String> answer = fleet.get(node, "/hello?x=1");
+      assertThat(answer.statusCode()).isEqualTo(200);
+      assertThat(answer.body()).contains("\"path\":\"/hello?x=1\"").endsWith("}");
+    }
+  }
+
+  @Test
+  void aWrongKeyIsRefusedAndNothingRan() throws Exception {
+    HttpResponse<String> answer =
+        fleet.send(
+            HttpRequest.newBuilder(fleet.uri("node-1", "/hello"))
+                .header("Authorization", "Bearer wrong")
+                .build());
+    assertThat(answer.statusCode()).isEqualTo(401);
+    assertThat(answer.body()).contains("\"code\":1102", "\"run\":\"not-run\"");
+  }
+
+  @Test
+  void aRouteOpenToAllNeedsNoKey() throws Exception {
+    HttpResponse<String> answer =
+        fleet.send(HttpRequest.newBuilder(fleet.uri("node-2", "/open/x")).build());
+    assertThat(answer.statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void anUploadComesBackByteForByte() throws Exception {
+    byte[] upload = new byte[UPLOAD_BYTES];
+    new Random(SEED).nextBytes(upload);
+    for (String node : fleet.nodeNames()) {
+      HttpRequest request =
+          fleet.request(node, "/echo").POST(HttpRequest.BodyPublishers.ofByteArray(upload)).build();
+      HttpResponse<byte[]> answer =
+          fleet.client().send(request, HttpResponse.BodyHandlers.ofByteArray());
+      assertThat(answer.statusCode()).isEqualTo(200);
+      assertThat(answer.body()).isEqualTo(upload);
+    }
+  }
+
+  @Test
+  void noBackendServerSeesTheKey() throws Exception {
+    for (String node : fleet.nodeNames()) {
+      String answer = fleet.get(node, "/hello").body();
+      assertThat(answer)
+          .doesNotContainIgnoringCase("authorization")
+          .doesNotContain(ProcessFleet.KEY);
+    }
+  }
+
+  @Test
+  void aHeadRequestHasTheLengthAndNoBody() throws Exception {
+    HttpResponse<String> answer =
+        fleet.send(
+            fleet
+                .request("node-1", "/hello")
+                .method("HEAD", HttpRequest.BodyPublishers.noBody())
+                .build());
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(answer.body()).isEmpty();
+  }
+}
