Check, publish and edit the configuration; the operators' command line

Files in a folder are read into a set; eleven checks, one per file, give all findings at once with file, JSON pointer, code and hint. A lost reply is resolved by reading back the row's publication id; without a row the same transaction is sent again. The later of two operators gets 5101 with the objects that each has changed. Commands that edit are made anew to what another has published.

Excluded: a fallback service as the reference that can close a ring, since placement would have to honour it; defaultsFrom between services has a use of its own at 4,100 services and is resolved when the folder is read. Excluded: merging two operators' folders on publish; pull brings the others' changes into the files, where the operator sees them.

Conclusion: check, diff, publish, pull, history, status, drain, undrain, domain, key and explain work against a platform in memory; nodes still poll, relaying between them follows.

--- a/api/src/main/java/org/clementinepost/api/config/Customer.java
+++ b/api/src/main/java/org/clementinepost/api/config/Customer.java
@@ -10,4 +10,15 @@
  * @param burstRequests requests that may come at once
  * @param weight the customer's part of scarce slots, against other customers
  */
-public record Customer(CustomerId id, double ratePerSecond, int burstRequests, int weight) {}
+public record Customer(CustomerId id, double ratePerSecond, int burstRequests, int weight)
+    implements ConfigurationObject {
+  @Override
+  public ObjectKind kind() {
+    return ObjectKind.CUSTOMER;
+  }
+
+  @Override
+  public String name() {
+    return id.value();
+  }
+}
--- a/api/src/main/java/org/clementinepost/api/config/Key.java
+++ b/api/src/main/java/org/clementinepost/api/config/Key.java
@@ -9,4 +9,10 @@
  * @param customer the customer that the key stands for
  * @param sha256Hex the hash of the key, in lower-case hexadecimal digits
  */
-public record Key(String name, CustomerId customer, String sha256Hex) {}
+public record Key(String name, CustomerId customer, String sha256Hex)
+    implements ConfigurationObject {
+  @Override
+  public ObjectKind kind() {
+    return ObjectKind.KEY;
+  }
+}
--- a/api/src/main/java/org/clementinepost/api/config/Route.java
+++ b/api/src/main/java/org/clementinepost/api/config/Route.java
@@ -14,8 +14,10 @@
  * @param customers the customers let in; none named means every customer
  */
 public record Route(
-    String name,
-    String pathPrefix,
-    ServiceId service,
-    boolean openToAll,
-    Set<CustomerId> customers) {}
+    String name, String pathPrefix, ServiceId service, boolean openToAll, Set<CustomerId> customers)
+    implements ConfigurationObject {
+  @Override
+  public ObjectKind kind() {
+    return ObjectKind.ROUTE;
+  }
+}
--- a/api/src/main/java/org/clementinepost/api/config/Service.java
+++ b/api/src/main/java/org/clementinepost/api/config/Service.java
@@ -18,4 +18,15 @@
     int minBackendServers,
     long timeoutMillis,
     long coldStartMillis,
-    int coldStartSlots) {}
+    int coldStartSlots)
+    implements ConfigurationObject {
+  @Override
+  public ObjectKind kind() {
+    return ObjectKind.SERVICE;
+  }
+
+  @Override
+  public String name() {
+    return id.value();
+  }
+}
--- a/api/src/main/java/org/clementinepost/api/config/Snapshot.java
+++ b/api/src/main/java/org/clementinepost/api/config/Snapshot.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.CustomerId;
@@ -41,6 +42,51 @@
     return EMPTY;
   }
 
+  /** The same objects at another version. */
+  public Snapshot withVersion(long value) {
+    return new Snapshot(value, customers, keys, services, domains, routes, drains);
+  }
+
+  /** This snapshot with one more object, in place of the one that has its place. */
+  public Snapshot with(ConfigurationObject object) {
+    return SnapshotEdit.put(this, object);
+  }
+
+  /** This snapshot without an object. */
+  public Snapshot without(ConfigurationObject object) {
+    return SnapshotEdit.remove(this, object);
+  }
+
+  /**
+   * The next version.
+   *
+   * <p>The cost grows with the changes and not with the number of objects.
+   */
+  public Snapshot apply(Delta delta) {
+    if (delta.fromVersion() != version) {
+      throw new IllegalArgumentException(
+          "a delta from version " + delta.fromVersion() + " on version " + version);
+    }
+    Snapshot kept = delta.removals().foldLeft(this, Snapshot::without);
+    return delta.upserts().foldLeft(kept, Snapshot::with).withVersion(delta.toVersion());
+  }
+
+  /** All objects, kind by kind. */
+  public Vector<ConfigurationObject> objects() {
+    return Vector.<ConfigurationObject>empty()
+        .appendAll(domains.values())
+        .appendAll(services.values())
+        .appendAll(customers.values())
+        .appendAll(keys.values())
+        .appendAll(routes.routes())
+        .appendAll(drains.values());
+  }
+
+  /** Finds an object by its name; it looks through all objects of the kind. */
+  public Option<ConfigurationObject> find(ObjectRef ref) {
+    return objects().find(object -> object.ref().equals(ref));
+  }
+
   /** The customer whose key has this hash. */
   public Option<Key> keyByHash(String sha256Hex) {
     return keys.get(sha256Hex);
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/Changes.java
@@ -0,0 +1,57 @@
+package org.clementinepost.ctl;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import org.clementinepost.api.config.ConfigurationObject;
+import org.clementinepost.api.config.Delta;
+import org.clementinepost.api.config.ObjectRef;
+import org.clementinepost.platform.config.Documents;
+import org.clementinepost.platform.config.ObjectJson;
+
+/** Shows a delta object by object. */
+final class Changes {
+  private Changes() {}
+
+  static Vector<ObjectNode> json(Delta delta) {
+    return delta.refs().toVector().map(ref -> json(delta, ref));
+  }
+
+  private static ObjectNode json(Delta delta, ObjectRef ref) {
+    Option<ObjectNode> before = find(delta.removals(), ref);
+    Option<ObjectNode> after = find(delta.upserts(), ref);
+    ObjectNode node = Documents.object().put("kind", ref.kind().label()).put("name", ref.name());
+    node.put("change", before.isEmpty() ? "added" : after.isEmpty() ? "removed" : "changed");
+    before.forEach(value -> node.set("before", value));
+    after.forEach(value -> node.set("after", value));
+    return node;
+  }
+
+  static Vector<String> lines(Delta delta) {
+    return delta.refs().toVector().map(ref -> line(delta, ref));
+  }
+
+  private static String line(Delta delta, ObjectRef ref) {
+    Option<ObjectNode> before = find(delta.removals(), ref);
+    Option<ObjectNode> after = find(delta.upserts(), ref);
+    if (before.isEmpty()) {
+      return "+ " + ref;
+    }
+    if (after.isEmpty()) {
+      return "- " + ref;
+    }
+    return "~ " + ref + " " + differences(before.get(), after.get());
+  }
+
+  private static String differences(ObjectNode before, ObjectNode after) {
+    return Vector.ofAll(after.properties())
+        .reject(field -> field.getValue().equals(before.get(field.getKey())))
+        .map(
+            field -> field.getKey() + ": " + before.get(field.getKey()) + " -> " + field.getValue())
+        .mkString(", ");
+  }
+
+  private static Option<ObjectNode> find(Vector<ConfigurationObject> objects, ObjectRef ref) {
+    return objects.find(object -> object.ref().equals(ref)).map(ObjectJson::write);
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/CheckCommand.java
@@ -0,0 +1,25 @@
+package org.clementinepost.ctl;
+
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.config.ObjectKind;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.platform.config.check.ConfigurationChecker;
+import org.clementinepost.platform.config.source.ConfigurationFolder;
+
+/** Checks a folder. */
+final class CheckCommand implements Command {
+  @Override
+  public Outcome run(CommandContext context) {
+    return ConfigurationChecker.check(ConfigurationFolder.read(context.folder()))
+        .fold(Findings::outcome, CheckCommand::sound);
+  }
+
+  private static Outcome sound(Snapshot snapshot) {
+    Outcome.Builder outcome = Outcome.builder(ResultCode.OK);
+    for (ObjectKind kind : ObjectKind.values()) {
+      int count = snapshot.objects().count(object -> object.kind() == kind);
+      outcome.field(kind.folder(), count).line(count + " " + kind.folder());
+    }
+    return outcome.line("nothing found").build();
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/CommandContext.java
@@ -0,0 +1,45 @@
+package org.clementinepost.ctl;
+
+import io.vavr.collection.Vector;
+import java.nio.file.Path;
+import org.clementinepost.platform.Platform;
+import org.clementinepost.platform.config.ConfigurationEditor;
+import org.clementinepost.platform.config.ConfigurationPublisher;
+import org.clementinepost.platform.config.ConfigurationStore;
+import org.clementinepost.platform.config.PublicationStamp;
+
+/**
+ * What a command is given.
+ *
+ * @param arguments the words after the command
+ * @param options the options on the command line
+ * @param platform the platform; commands that need none do not touch it
+ * @param nowMillis the time, since the epoch
+ */
+record CommandContext(
+    Vector<String> arguments, CtlOptions options, Platform platform, long nowMillis) {
+
+  String argument() {
+    return arguments.head();
+  }
+
+  Path folder() {
+    return Path.of(argument());
+  }
+
+  ConfigurationStore store() {
+    return new ConfigurationStore(platform);
+  }
+
+  ConfigurationPublisher publisher() {
+    return new ConfigurationPublisher(platform);
+  }
+
+  ConfigurationEditor editor() {
+    return new ConfigurationEditor(platform, publisher());
+  }
+
+  PublicationStamp stamp(String what) {
+    return PublicationStamp.of(options.operator(), nowMillis, options.note().getOrElse(what));
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/CommandEntry.java
@@ -0,0 +1,48 @@
+package org.clementinepost.ctl;
+
+import io.vavr.collection.Vector;
+import java.util.Locale;
+
+/**
+ * A command as it stands on the command line.
+ *
+ * @param words the words that name it
+ * @param arguments the names of the arguments that follow
+ * @param summary what it does, in one line
+ * @param needsPlatform whether it reaches the platform
+ * @param command carries it out
+ */
+record CommandEntry(
+    Vector<String> words,
+    Vector<String> arguments,
+    String summary,
+    boolean needsPlatform,
+    Command command) {
+
+  static CommandEntry local(String text, String summary, Command command) {
+    return of(text, summary, false, command);
+  }
+
+  static CommandEntry remote(String text, String summary, Command command) {
+    return of(text, summary, true, command);
+  }
+
+  private static CommandEntry of(
+      String text, String summary, boolean needsPlatform, Command command) {
+    Vector<String> all = Vector.of(text.split(" ", -1));
+    Vector<String> words = all.takeWhile(word -> word.equals(word.toLowerCase(Locale.ROOT)));
+    return new CommandEntry(words, all.drop(words.size()), summary, needsPlatform, command);
+  }
+
+  boolean isNamedBy(Vector<String> line) {
+    return line.startsWith(words);
+  }
+
+  boolean hasItsArguments(Vector<String> line) {
+    return line.size() == words.size() + arguments.size();
+  }
+
+  String usage() {
+    return words.appendAll(arguments).mkString(" ");
+  }
+}
--- a/ctl/src/main/java/org/clementinepost/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/CtlMain.java
@@ -1,28 +1,18 @@
 package org.clementinepost.ctl;
 
-import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import org.clementinepost.api.Failure;
-import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.HttpPlatform;
-import org.clementinepost.platform.PlatformSettings;
-import org.clementinepost.platform.config.ConfigurationStore;
-import org.clementinepost.platform.config.SnapshotJson;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /** The binary {@code clementinectl}. */
 public final class CtlMain {
+  private static final Logger ROOT = Logger.getLogger("");
+
   private CtlMain() {}
 
-  /** Publishes a snapshot file: {@code publish PLATFORM-URL FILE}. */
-  public static void main(String[] arguments) throws IOException {
-    HttpPlatform platform = HttpPlatform.of(PlatformSettings.builder().url(arguments[1]).build());
-    ConfigurationStore store = new ConfigurationStore(platform.platform());
-    Snapshot snapshot =
-        SnapshotJson.read(Files.readAllBytes(Path.of(arguments[2])))
-            .getOrElseThrow(failure -> new IllegalArgumentException(failure.detail()));
-    Either<Failure, Snapshot> published = store.publish(snapshot, "by-hand").block();
-    System.out.println(published);
+  /** Runs one command and ends with its exit code. */
+  public static void main(String[] arguments) {
+    ROOT.setLevel(Level.WARNING);
+    Ctl ctl = new Ctl(PlatformConnections::open, System.out, System.err, System::currentTimeMillis);
+    System.exit(ctl.run(arguments));
   }
 }
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/DiffCommand.java
@@ -0,0 +1,42 @@
+package org.clementinepost.ctl;
+
+import io.vavr.control.Either;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.config.Delta;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.platform.config.check.ConfigurationChecker;
+import org.clementinepost.platform.config.source.ConfigurationFolder;
+
+/** Shows how a folder differs from the newest version, and who else has changed what. */
+final class DiffCommand implements Command {
+  @Override
+  public Outcome run(CommandContext context) {
+    return ConfigurationChecker.check(ConfigurationFolder.read(context.folder()))
+        .fold(Findings::outcome, folder -> run(context, folder));
+  }
+
+  private static Outcome run(CommandContext context, Snapshot folder) {
+    long baseVersion = FolderBase.of(context);
+    Either<Failure, Snapshot> head = context.store().loadNewerThan(Snapshot.empty()).block();
+    Either<Failure, Snapshot> base = context.store().load(baseVersion).block();
+    if (head.isLeft() || base.isLeft()) {
+      return Outcome.of(head.isLeft() ? head.getLeft() : base.getLeft());
+    }
+    Delta delta = Delta.between(head.get(), folder);
+    Delta others = Delta.between(base.get(), head.get());
+    Outcome.Builder outcome =
+        Outcome.builder(ResultCode.OK)
+            .field("version", head.get().version())
+            .field("base", baseVersion)
+            .objects("changes", Changes.json(delta))
+            .texts("changedByOthers", others.refs().iterator())
+            .lines(Changes.lines(delta))
+            .line(delta.refs().size() + " differ from version " + head.get().version());
+    if (!others.isEmpty()) {
+      outcome.line(
+          "changed by others since version " + baseVersion + ": " + others.refs().mkString(", "));
+    }
+    return outcome.build();
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/DrainCommand.java
@@ -0,0 +1,51 @@
+package org.clementinepost.ctl;
+
+import io.vavr.control.Either;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.config.Drain;
+import org.clementinepost.api.config.Snapshot;
+
+/**
+ * Drains a backend server or gives it work again.
+ *
+ * <p>No list of backend servers exists, so that one which nobody has announced can be drained too.
+ */
+final class DrainCommand {
+  private DrainCommand() {}
+
+  static Command drain() {
+    return context ->
+        PublishReport.of(
+                context
+                    .editor()
+                    .edit(
+                        head -> Either.right(head.with(drainOf(context))),
+                        context.stamp("drain " + context.argument()))
+                    .block())
+            .build();
+  }
+
+  static Command undrain() {
+    return context ->
+        PublishReport.of(
+                context
+                    .editor()
+                    .edit(
+                        head -> undrained(head, drainOf(context)),
+                        context.stamp("undrain " + context.argument()))
+                    .block())
+            .build();
+  }
+
+  private static Drain drainOf(CommandContext context) {
+    return new Drain(new BackendServerId(context.argument()));
+  }
+
+  private static Either<Failure, Snapshot> undrained(Snapshot head, Drain drain) {
+    return head.isDrained(drain.server())
+        ? Either.right(head.without(drain))
+        : Either.left(Failure.of(ResultCode.NO_SUCH_OBJECT, drain.ref().toString()));
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/ExplainCommand.java
@@ -0,0 +1,48 @@
+package org.clementinepost.ctl;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+
+/** Tells what a result code means and what to do about it. */
+final class ExplainCommand implements Command {
+  @Override
+  public Outcome run(CommandContext context) {
+    Option<ResultCode> code =
+        Try.of(() -> Integer.parseInt(context.argument()))
+            .toOption()
+            .flatMap(number -> Option.ofOptional(ResultCode.ofNumber(number)))
+            .orElse(() -> named(context.argument()));
+    return code.map(ExplainCommand::explain)
+        .getOrElse(
+            () -> Outcome.of(Failure.of(ResultCode.USAGE, "no result code " + context.argument())));
+  }
+
+  private static Option<ResultCode> named(String name) {
+    return Vector.of(ResultCode.values()).find(code -> code.name().equalsIgnoreCase(name));
+  }
+
+  private static Outcome explain(ResultCode code) {
+    Vector<String> text = ResultCodePages.section(code);
+    return Outcome.builder(ResultCode.OK)
+        .field("code", code.number())
+        .field("codeName", code.name())
+        .field("meaning", code.title())
+        .field("httpStatus", code.httpStatus())
+        .field("exitCode", code.exitCode())
+        .field("run", code.runState().label())
+        .field("text", text.mkString("\n").strip())
+        .line(code.number() + " " + code.name() + ": " + code.title())
+        .line(
+            "HTTP status "
+                + code.httpStatus()
+                + ", exit code "
+                + code.exitCode()
+                + ", request "
+                + code.runState().label())
+        .lines(text)
+        .build();
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/Findings.java
@@ -0,0 +1,42 @@
+package org.clementinepost.ctl;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.platform.config.Documents;
+import org.clementinepost.platform.config.source.Finding;
+
+/** Shows the findings of a check. */
+final class Findings {
+  private Findings() {}
+
+  /** The outcome of a command that found something; the code is the first finding's. */
+  static Outcome outcome(Vector<Finding> findings) {
+    ResultCode code = findings.head().code();
+    return Outcome.builder(code)
+        .objects("findings", findings.map(Findings::json))
+        .lines(findings.map(Findings::text))
+        .line(findings.size() + " found")
+        .build();
+  }
+
+  private static ObjectNode json(Finding finding) {
+    return Documents.object()
+        .put("file", finding.file())
+        .put("pointer", finding.pointer())
+        .put("code", finding.code().number())
+        .put("problem", finding.problem())
+        .put("hint", finding.hint());
+  }
+
+  private static String text(Finding finding) {
+    return finding.file()
+        + (finding.pointer().isEmpty() ? "" : " at " + finding.pointer())
+        + ": "
+        + finding.code().number()
+        + " "
+        + finding.problem()
+        + "; "
+        + finding.hint();
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/HistoryCommand.java
@@ -0,0 +1,46 @@
+package org.clementinepost.ctl;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import java.time.Instant;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.platform.config.Documents;
+import org.clementinepost.platform.config.Publication;
+
+/** Lists the newest versions, the newest first. */
+final class HistoryCommand implements Command {
+  @Override
+  public Outcome run(CommandContext context) {
+    return context
+        .store()
+        .history(context.options().limit())
+        .block()
+        .fold(Outcome::of, rows -> show(rows.reverse()));
+  }
+
+  private static Outcome show(Vector<Publication> rows) {
+    return Outcome.builder(ResultCode.OK)
+        .objects("versions", rows.map(HistoryCommand::json))
+        .lines(rows.map(HistoryCommand::text))
+        .build();
+  }
+
+  private static ObjectNode json(Publication row) {
+    return Documents.object()
+        .put("version", row.version())
+        .put("publicationId", row.stamp().publicationId())
+        .put("operator", row.stamp().operator())
+        .put("publishedAtMillis", row.stamp().publishedAtMillis())
+        .put("note", row.stamp().note());
+  }
+
+  private static String text(Publication row) {
+    return row.version()
+        + " "
+        + Instant.ofEpochMilli(row.stamp().publishedAtMillis())
+        + " "
+        + row.stamp().operator()
+        + ": "
+        + row.stamp().note();
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/KeyGrantCommand.java
@@ -0,0 +1,61 @@
+package org.clementinepost.ctl;
+
+import io.vavr.control.Either;
+import java.security.SecureRandom;
+import java.util.Base64;
+import org.clementinepost.api.CustomerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.config.Key;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.platform.config.PublishOutcome;
+
+/** Grants a key: its hash is published, the key itself is shown once and kept nowhere. */
+final class KeyGrantCommand implements Command {
+  private static final int KEY_BYTES = 32;
+  private static final int NAME_HASH_DIGITS = 12;
+
+  private final SecureRandom random = new SecureRandom();
+
+  @Override
+  public Outcome run(CommandContext context) {
+    String secret = newSecret();
+    String hash = KeyHashes.of(secret);
+    CustomerId customer = new CustomerId(context.argument());
+    String name =
+        context
+            .options()
+            .name()
+            .getOrElse(() -> customer + "-" + hash.substring(0, NAME_HASH_DIGITS));
+    Key key = new Key(name, customer, hash);
+    PublishOutcome outcome =
+        context
+            .editor()
+            .edit(head -> granted(head, key), context.stamp("key grant " + customer))
+            .block();
+    Outcome.Builder report = PublishReport.of(outcome).field("keyName", name);
+    return mayStand(outcome)
+        ? report.field("key", secret).line("key name: " + name).line("key: " + secret).build()
+        : report.build();
+  }
+
+  /** A key whose publication is uncertain is shown too: it may be in force. */
+  private static boolean mayStand(PublishOutcome outcome) {
+    return outcome instanceof PublishOutcome.Published
+        || (outcome instanceof PublishOutcome.Failed failed
+            && failed.failure().code() == ResultCode.PUBLISH_UNCERTAIN);
+  }
+
+  private static Either<Failure, Snapshot> granted(Snapshot head, Key key) {
+    if (!head.customers().containsKey(key.customer())) {
+      return Either.left(Failure.of(ResultCode.NO_SUCH_OBJECT, "customer/" + key.customer()));
+    }
+    return Either.right(head.with(key));
+  }
+
+  private String newSecret() {
+    byte[] bytes = new byte[KEY_BYTES];
+    random.nextBytes(bytes);
+    return Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/OutcomeWriter.java
@@ -0,0 +1,31 @@
+package org.clementinepost.ctl;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.platform.config.Documents;
+
+/** Prints outcomes: JSON on the standard output, or text with errors on the standard error. */
+record OutcomeWriter(PrintStream output, PrintStream error) {
+  void writeJson(Outcome outcome) {
+    ObjectNode node =
+        Documents.object()
+            .put("result", outcome.code().number())
+            .put("name", outcome.code().name())
+            .put("title", outcome.code().title());
+    outcome.fields().forEach((name, value) -> node.set(name, value));
+    output.println(Documents.writeIndented(node));
+  }
+
+  void writeText(Outcome outcome) {
+    ResultCode code = outcome.code();
+    if (code != ResultCode.OK) {
+      error.println("error " + code.number() + " " + code.name() + ": " + code.title());
+    }
+    PrintStream stream = code == ResultCode.OK ? output : error;
+    outcome.lines().filter(line -> !line.isEmpty()).forEach(stream::println);
+    if (code != ResultCode.OK) {
+      error.println("clementinectl explain " + code.number() + " tells what to do");
+    }
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/PlatformConnections.java
@@ -0,0 +1,23 @@
+package org.clementinepost.ctl;
+
+import org.clementinepost.platform.HttpPlatform;
+import org.clementinepost.platform.Platform;
+import org.clementinepost.platform.PlatformSettings;
+import reactor.core.Disposable;
+
+/**
+ * The connections to the platform that one command holds.
+ *
+ * @param platform the platform
+ * @param connections closes them
+ */
+record PlatformConnections(Platform platform, Disposable connections) {
+  static PlatformConnections open(String url) {
+    HttpPlatform http = HttpPlatform.of(PlatformSettings.builder().url(url).build());
+    return new PlatformConnections(http.platform(), http);
+  }
+
+  void close() {
+    connections.dispose();
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/PublishCommand.java
@@ -0,0 +1,33 @@
+package org.clementinepost.ctl;
+
+import io.vavr.control.Either;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.platform.config.PublishOutcome;
+import org.clementinepost.platform.config.PublishOutcomes;
+import org.clementinepost.platform.config.check.ConfigurationChecker;
+import org.clementinepost.platform.config.source.ConfigurationFolder;
+
+/** Publishes a folder, if nobody has published since the version that it is based on. */
+final class PublishCommand implements Command {
+  @Override
+  public Outcome run(CommandContext context) {
+    return ConfigurationChecker.check(ConfigurationFolder.read(context.folder()))
+        .fold(Findings::outcome, folder -> run(context, folder));
+  }
+
+  private static Outcome run(CommandContext context, Snapshot folder) {
+    Either<Failure, Snapshot> base = context.store().load(FolderBase.of(context)).block();
+    if (base.isLeft()) {
+      return Outcome.of(base.getLeft());
+    }
+    PublishOutcome outcome =
+        context
+            .publisher()
+            .publish(base.get(), folder, context.stamp("publish " + context.argument()))
+            .block();
+    PublishOutcomes.snapshot(outcome)
+        .forEach(published -> FolderBase.write(context.folder(), published.version()));
+    return PublishReport.of(outcome).build();
+  }
+}
