Count what a stand-in has seen by counter, stop its tasks before its threads

Ten-field copies stood four times for six counters; a map by counter says it once. Threads that were cut off before the tasks' last step left connections open.

--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendDecision.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendDecision.java
@@ -61,7 +61,7 @@
     boolean full = state.busySlots() >= settings.slots();
     if (cold || full || state.lifecycle() == Lifecycle.GONE) {
       return Step.to(
-          state.withReceived(state.received().refused(cold)),
+          state.withReceived(state.received().plusOne(cold ? Counter.COLD_SHED : Counter.SHED)),
           new BackendEffect.Answer<>(begin.reply(), new Admission.Shed(cold)));
     }
     return run(state, begin, event);
@@ -74,19 +74,30 @@
         health.latencyMillis(begin.latencyMillis().getOrElse(settings.latencyMillis()));
     boolean frozen = health.mode() == HealthMode.FROZEN;
     boolean late = begin.timeoutMillis() > 0 && latencyMillis > begin.timeoutMillis();
-    boolean draining = state.lifecycle() == Lifecycle.DRAINING;
     int busy = state.busySlots() + 1;
-    Received received = state.received().run(begin.requestId(), busy, draining, late && !frozen);
+    Received received = received(state, begin, busy, late && !frozen);
     long delayMillis = late ? begin.timeoutMillis() : latencyMillis;
     Admission admission =
         frozen
             ? new Admission.Hang()
-            : new Admission.Run(delayMillis, statusOf(health, late), received.totalRuns());
+            : new Admission.Run(
+                delayMillis, statusOf(health, late), received.count(Counter.TOTAL_RUNS));
     return Step.to(
         state.withBusySlots(busy).withReceived(received),
         new BackendEffect.Answer<>(begin.reply(), admission));
   }
 
+  private static Received received(
+      BackendState state, BackendMessage.Begin begin, int busySlots, boolean deadlinePassed) {
+    Received received = state.received().run(begin.requestId(), busySlots);
+    if (deadlinePassed) {
+      received = received.plusOne(Counter.DEADLINES_PASSED);
+    }
+    return state.lifecycle() == Lifecycle.DRAINING
+        ? received.plusOne(Counter.RUNS_WHILE_DRAINING)
+        : received;
+  }
+
   private static int statusOf(HealthOrder health, boolean late) {
     if (late) {
       return GATEWAY_TIMEOUT_STATUS;
@@ -96,7 +107,8 @@
 
   private static Step<BackendState, BackendEffect> end(
       BackendState state, BackendMessage.End end, Event event) {
-    Received received = end.cancelled() ? state.received().withCancelled() : state.received();
+    Received received =
+        end.cancelled() ? state.received().plusOne(Counter.CANCELLED) : state.received();
     return leaveWhenIdle(state.withBusySlots(state.busySlots() - 1).withReceived(received), event);
   }
 
--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendFront.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendFront.java
@@ -14,9 +14,9 @@
 import org.clementinepost.kernel.Ask;
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.testing.Json;
-import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -40,7 +40,13 @@
     this.task = task;
   }
 
-  Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+  /** Counts a connection while it is open. */
+  void count(Connection connection) {
+    task.send(new BackendMessage.Connections(1));
+    connection.onDispose(() -> task.send(new BackendMessage.Connections(-1)));
+  }
+
+  Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     return switch (request.fullPath()) {
       case "/control" -> control(request, response);
       case "/received" -> received(response);
--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendServerStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendServerStandIn.java
@@ -12,7 +12,6 @@
 import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
-import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 
@@ -24,11 +23,12 @@
 public final class BackendServerStandIn implements StandInProcess.Running {
   private static final int STAND_IN_THREADS = 2;
   private static final Duration BIND_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration MAX_DRAIN_TIME = Duration.ofSeconds(60);
 
   private final BackendSettings settings;
   private final Scheduler scheduler;
-  private final Sinks.One<Kernel> started = Sinks.one();
+  private final Sinks.One<BackendFront> front = Sinks.one();
   private final DisposableServer server;
   private final Kernel kernel;
   private final Address<BackendMessage> task;
@@ -40,10 +40,8 @@
         HttpServer.create()
             .host(settings.host())
             .port(settings.port())
-            .doOnConnection(this::count)
-            .handle(
-                (request, response) ->
-                    started.asMono().flatMap(k -> Mono.from(front(k).handle(request, response))))
+            .doOnConnection(connection -> front.asMono().subscribe(f -> f.count(connection)))
+            .handle((request, response) -> front.asMono().flatMap(f -> f.handle(request, response)))
             .bindNow(BIND_TIMEOUT);
     kernel =
         Kernel.builder()
@@ -51,7 +49,7 @@
             .service(BackendService.definition(settings, address()))
             .start();
     task = kernel.find(BackendService.NAME);
-    started.tryEmitValue(kernel).orThrow();
+    front.tryEmitValue(new BackendFront(settings.id(), task)).orThrow();
   }
 
   /** Starts a backend server. */
@@ -59,19 +57,6 @@
     return new BackendServerStandIn(settings);
   }
 
-  private BackendFront front(Kernel running) {
-    return new BackendFront(settings.id(), running.find(BackendService.NAME));
-  }
-
-  private void count(Connection connection) {
-    started.asMono().subscribe(running -> count(connection, running.find(BackendService.NAME)));
-  }
-
-  private static void count(Connection connection, Address<BackendMessage> counter) {
-    counter.send(new BackendMessage.Connections(1));
-    connection.onDispose(() -> counter.send(new BackendMessage.Connections(-1)));
-  }
-
   /** Where it listens. */
   public NetworkAddress address() {
     return NetworkAddress.parse(server.host() + ":" + server.port());
@@ -120,7 +105,7 @@
   /** Stops at once, without a word to the node. */
   public void kill() {
     kernel.dispose();
-    server.disposeNow(BIND_TIMEOUT);
-    scheduler.dispose();
+    server.disposeNow(STOP_TIMEOUT);
+    scheduler.disposeGracefully().timeout(STOP_TIMEOUT, Mono.empty()).block();
   }
 }
--- a/testing/src/main/java/org/clementinepost/testing/backend/Received.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/Received.java
@@ -6,31 +6,24 @@
 /**
  * What a backend server has seen so far.
  *
+ * <p>It remembers the id of every request, so that a second run of one is found however late it
+ * comes; its memory grows with the test.
+ *
  * @param runsById how often each request was begun, by its id
- * @param totalRuns the requests begun
- * @param shed the requests refused because no slot was free
- * @param coldShed the requests refused because the cold start bears fewer
- * @param cancelled the requests whose connection closed before the answer
- * @param deadlinesPassed the requests given up at their deadline
- * @param runsWhileDraining the requests begun after draining was announced
+ * @param counts the counters that are not zero
  * @param maxConcurrency the most requests that ran at once
  * @param maxConnections the most connections open at once
  * @param authorizationSeen whether any request carried a header field Authorization
  */
 public record Received(
     Map<String, Integer> runsById,
-    long totalRuns,
-    long shed,
-    long coldShed,
-    long cancelled,
-    long deadlinesPassed,
-    long runsWhileDraining,
+    Map<Counter, Long> counts,
     int maxConcurrency,
     int maxConnections,
     boolean authorizationSeen) {
 
   static Received none() {
-    return new Received(HashMap.empty(), 0, 0, 0, 0, 0, 0, 0, 0, false);
+    return new Received(HashMap.empty(), HashMap.empty(), 0, 0, false);
   }
 
   /** How often a request was begun. */
@@ -38,57 +31,34 @@
     return runsById.get(requestId).getOrElse(0);
   }
 
-  Received run(String requestId, int concurrency, boolean draining, boolean deadlinePassed) {
-    return new Received(
-        requestId.isEmpty() ? runsById : runsById.put(requestId, runs(requestId) + 1),
-        totalRuns + 1,
-        shed,
-        coldShed,
-        cancelled,
-        deadlinesPassed + (deadlinePassed ? 1 : 0),
-        runsWhileDraining + (draining ? 1 : 0),
-        Math.max(maxConcurrency, concurrency),
-        maxConnections,
-        authorizationSeen);
+  /** A counter's value. */
+  public long count(Counter counter) {
+    return counts.get(counter).getOrElse(0L);
   }
 
-  Received refused(boolean cold) {
+  Received plusOne(Counter counter) {
     return new Received(
         runsById,
-        totalRuns,
-        shed + (cold ? 0 : 1),
-        coldShed + (cold ? 1 : 0),
-        cancelled,
-        deadlinesPassed,
-        runsWhileDraining,
+        counts.put(counter, count(counter) + 1),
         maxConcurrency,
         maxConnections,
         authorizationSeen);
   }
 
-  Received withCancelled() {
+  Received run(String requestId, int concurrency) {
     return new Received(
-        runsById,
-        totalRuns,
-        shed,
-        coldShed,
-        cancelled + 1,
-        deadlinesPassed,
-        runsWhileDraining,
-        maxConcurrency,
-        maxConnections,
-        authorizationSeen);
+            requestId.isEmpty() ? runsById : runsById.put(requestId, runs(requestId) + 1),
+            counts,
+            Math.max(maxConcurrency, concurrency),
+            maxConnections,
+            authorizationSeen)
+        .plusOne(Counter.TOTAL_RUNS);
   }
 
   Received seen(boolean authorization, int connections) {
     return new Received(
         runsById,
-        totalRuns,
-        shed,
-        coldShed,
-        cancelled,
-        deadlinesPassed,
-        runsWhileDraining,
+        counts,
         maxConcurrency,
         Math.max(maxConnections, connections),
         authorizationSeen || authorization);
--- a/testing/src/main/java/org/clementinepost/testing/backend/ReceivedJson.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/ReceivedJson.java
@@ -20,12 +20,12 @@
     return new ReceivedJson(
         id,
         received.runsById().toJavaMap(),
-        received.totalRuns(),
-        received.shed(),
-        received.coldShed(),
-        received.cancelled(),
-        received.deadlinesPassed(),
-        received.runsWhileDraining(),
+        received.count(Counter.TOTAL_RUNS),
+        received.count(Counter.SHED),
+        received.count(Counter.COLD_SHED),
+        received.count(Counter.CANCELLED),
+        received.count(Counter.DEADLINES_PASSED),
+        received.count(Counter.RUNS_WHILE_DRAINING),
         received.maxConcurrency(),
         received.maxConnections(),
         received.authorizationSeen());
--- a/testing/src/main/java/org/clementinepost/testing/platform/PlatformStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/platform/PlatformStandIn.java
@@ -36,6 +36,7 @@
   private static final int OK_STATUS = 200;
   private static final int BAD_REQUEST_STATUS = 400;
   private static final Duration BIND_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
   private static final byte[] NO_BODY = {};
 
   private final Scheduler scheduler = Schedulers.newParallel("platform-stand-in", STAND_IN_THREADS);
@@ -216,8 +217,8 @@
   /** Stops at once; what was stored is gone. */
   @Override
   public void close() {
-    server.disposeNow(BIND_TIMEOUT);
+    server.disposeNow(STOP_TIMEOUT);
     kernel.dispose();
-    scheduler.dispose();
+    scheduler.disposeGracefully().timeout(STOP_TIMEOUT, Mono.empty()).block();
   }
 }
--- a/testing/src/test/java/org/clementinepost/testing/backend/BackendDecisionTest.java
+++ b/testing/src/test/java/org/clementinepost/testing/backend/BackendDecisionTest.java
@@ -85,7 +85,7 @@
 
     assertThat(begin(WARM_MILLIS, 0, 0)).isEqualTo(new Admission.Run(35, 200, 1));
     assertThat(begin(WARM_MILLIS, 20, 0)).isEqualTo(new Admission.Run(20, 504, 2));
-    assertThat(state.received().deadlinesPassed()).isEqualTo(1);
+    assertThat(state.received().count(Counter.DEADLINES_PASSED)).isEqualTo(1);
   }
 
   @Test
@@ -113,7 +113,7 @@
   void servesAgainAfterAnOrderToDrain() {
     order(HealthOrder.of(HealthMode.DRAINING), WARM_MILLIS);
     begin(WARM_MILLIS, 0, 0);
-    assertThat(state.received().runsWhileDraining()).isEqualTo(1);
+    assertThat(state.received().count(Counter.RUNS_WHILE_DRAINING)).isEqualTo(1);
     order(HealthOrder.of(HealthMode.HEALTHY), WARM_MILLIS);
 
     assertThat(state.lifecycle()).isEqualTo(Lifecycle.SERVING);
--- a/testing/src/test/java/org/clementinepost/testing/backend/BackendServerStandInTest.java
+++ b/testing/src/test/java/org/clementinepost/testing/backend/BackendServerStandInTest.java
@@ -129,10 +129,10 @@
     server.control(HealthOrder.of(HealthMode.FROZEN)).block(MAX_WAIT);
     Disposable first = call("/a").subscribe();
     Disposable second = call("/b").subscribe();
-    awaitReceived(received -> received.totalRuns() == 2);
+    awaitReceived(received -> received.count(Counter.TOTAL_RUNS) == 2);
 
     assertThat(call("/c").block(MAX_WAIT)).startsWith("503 not-run");
-    assertThat(awaitReceived(received -> true).totalRuns()).isEqualTo(2);
+    assertThat(awaitReceived(received -> true).count(Counter.TOTAL_RUNS)).isEqualTo(2);
     first.dispose();
     second.dispose();
   }
@@ -141,10 +141,10 @@
   void recordsAConnectionThatClosesBeforeTheAnswer() {
     server.control(HealthOrder.of(HealthMode.FROZEN)).block(MAX_WAIT);
     Disposable waiting = call("/a").subscribe();
-    awaitReceived(received -> received.totalRuns() == 1);
+    awaitReceived(received -> received.count(Counter.TOTAL_RUNS) == 1);
     waiting.dispose();
 
-    assertThat(awaitReceived(received -> received.cancelled() == 1)).isNotNull();
+    assertThat(awaitReceived(received -> received.count(Counter.CANCELLED) == 1)).isNotNull();
     server.control(HealthOrder.of(HealthMode.HEALTHY)).block(MAX_WAIT);
     assertThat(call("/b").block(MAX_WAIT)).startsWith("200");
   }
@@ -170,7 +170,7 @@
     awaitAnnouncement("\"state\":\"serving\"");
     Mono<String> answer = call("/a?delayMillis=500").cache();
     answer.subscribe();
-    awaitReceived(received -> received.totalRuns() == 1);
+    awaitReceived(received -> received.count(Counter.TOTAL_RUNS) == 1);
     server.close();
 
     assertThat(answer.block(MAX_WAIT)).startsWith("200");
