Keep stand-in processes up until a signal, and cut or finish their connections

The library's threads are daemons, so an idle stand-in ended as soon as main returned; main now waits until the stand-in has been closed. A killed stand-in cuts its connections, as the end of a process does; one that leaves in order lets each answer be written to its end first.

--- a/testing/src/main/java/org/clementinepost/testing/StandInProcess.java
+++ b/testing/src/main/java/org/clementinepost/testing/StandInProcess.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -29,14 +30,19 @@
     void close();
   }
 
-  /** Starts a stand-in from a command line and returns; its sockets keep the process up. */
+  /** Starts a stand-in from a command line, and returns when it has been closed. */
   public static void run(
       String name, Options options, String[] args, Function<CommandLine, Running> start) {
     try {
       CommandLine line = new DefaultParser().parse(options, args);
       Running running = start.apply(line);
-      Runtime.getRuntime().addShutdownHook(new Thread(running::close, name + "-stop"));
+      CountDownLatch closed = new CountDownLatch(1);
+      Runtime.getRuntime()
+          .addShutdownHook(new Thread(() -> close(running, closed), name + "-stop"));
       System.out.println("listening " + Json.write(running.listening()));
+      closed.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     } catch (ParseException | IllegalArgumentException e) {
       logger.atSevere().log("event=usage code=%d cause=%s", ResultCode.USAGE.number(), e);
       printUsage(System.err, name, options);
@@ -44,6 +50,11 @@
     }
   }
 
+  private static void close(Running running, CountDownLatch closed) {
+    running.close();
+    closed.countDown();
+  }
+
   private static void printUsage(PrintStream out, String name, Options options) {
     out.println("usage: " + name);
     options
--- a/testing/src/main/java/org/clementinepost/testing/backend/BackendServerStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/BackendServerStandIn.java
@@ -8,11 +8,11 @@
 import org.clementinepost.kernel.Ask;
 import org.clementinepost.kernel.Kernel;
 import org.clementinepost.testing.StandInProcess;
+import org.clementinepost.testing.StandInServer;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 
 /**
@@ -22,14 +22,13 @@
  */
 public final class BackendServerStandIn implements StandInProcess.Running {
   private static final int STAND_IN_THREADS = 2;
-  private static final Duration BIND_TIMEOUT = Duration.ofSeconds(10);
   private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration MAX_DRAIN_TIME = Duration.ofSeconds(60);
 
   private final BackendSettings settings;
   private final Scheduler scheduler;
   private final Sinks.One<BackendFront> front = Sinks.one();
-  private final DisposableServer server;
+  private final StandInServer server;
   private final Kernel kernel;
   private final Address<BackendMessage> task;
 
@@ -37,12 +36,14 @@
     this.settings = settings;
     scheduler = Schedulers.newParallel(settings.id(), STAND_IN_THREADS);
     server =
-        HttpServer.create()
-            .host(settings.host())
-            .port(settings.port())
-            .doOnConnection(connection -> front.asMono().subscribe(f -> f.count(connection)))
-            .handle((request, response) -> front.asMono().flatMap(f -> f.handle(request, response)))
-            .bindNow(BIND_TIMEOUT);
+        StandInServer.bind(
+            settings.host(),
+            settings.port(),
+            HttpServer.create()
+                .doOnConnection(connection -> front.asMono().subscribe(f -> f.count(connection)))
+                .handle(
+                    (request, response) ->
+                        front.asMono().flatMap(f -> f.handle(request, response))));
     kernel =
         Kernel.builder()
             .scheduler(scheduler)
@@ -59,7 +60,7 @@
 
   /** Where it listens. */
   public NetworkAddress address() {
-    return NetworkAddress.parse(server.host() + ":" + server.port());
+    return server.address();
   }
 
   /** Its root. */
@@ -99,13 +100,14 @@
         .then(gone)
         .timeout(MAX_DRAIN_TIME, Mono.empty())
         .block();
+    server.closeWhenIdle();
     kill();
   }
 
   /** Stops at once, without a word to the node. */
   public void kill() {
     kernel.dispose();
-    server.disposeNow(STOP_TIMEOUT);
+    server.close();
     scheduler.disposeGracefully().timeout(STOP_TIMEOUT, Mono.empty()).block();
   }
 }
--- a/testing/src/main/java/org/clementinepost/testing/platform/PlatformStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/platform/PlatformStandIn.java
@@ -14,15 +14,16 @@
 import org.clementinepost.platform.protocol.TableRequestCodec;
 import org.clementinepost.testing.Json;
 import org.clementinepost.testing.StandInProcess;
+import org.clementinepost.testing.StandInServer;
 import org.reactivestreams.Publisher;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
 
 /**
  * Serves both halves of the platform on one port, and injects faults.
@@ -35,7 +36,6 @@
   private static final int STAND_IN_THREADS = 2;
   private static final int OK_STATUS = 200;
   private static final int BAD_REQUEST_STATUS = 400;
-  private static final Duration BIND_TIMEOUT = Duration.ofSeconds(10);
   private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
   private static final byte[] NO_BODY = {};
 
@@ -43,7 +43,7 @@
   private final Kernel kernel;
   private final TableEndpoint table;
   private final ObjectEndpoint objects;
-  private final DisposableServer server;
+  private final StandInServer server;
 
   private PlatformStandIn(String host, int port, int maxPageItems) {
     kernel =
@@ -55,18 +55,15 @@
     Platform platform = PlatformService.platformOf(kernel);
     table = new TableEndpoint(platform.table(), maxPageItems);
     objects = new ObjectEndpoint(platform.objects());
-    server =
-        HttpServer.create()
-            .host(host)
-            .port(port)
-            .route(
-                routes ->
-                    routes
-                        .post("/", this::table)
-                        .post("/control", this::control)
-                        .get("/{bucket}/**", this::getObject)
-                        .put("/{bucket}/**", this::putObject))
-            .bindNow(BIND_TIMEOUT);
+    server = StandInServer.bind(host, port, HttpServer.create().route(this::routes));
+  }
+
+  private void routes(HttpServerRoutes routes) {
+    routes
+        .post("/", this::table)
+        .post("/control", this::control)
+        .get("/{bucket}/**", this::getObject)
+        .put("/{bucket}/**", this::putObject);
   }
 
   /** Starts on a free port of the loopback interface. */
@@ -85,7 +82,7 @@
 
   /** Where it listens. */
   public NetworkAddress address() {
-    return NetworkAddress.parse(server.host() + ":" + server.port());
+    return server.address();
   }
 
   /** The root of both halves. */
@@ -217,7 +214,7 @@
   /** Stops at once; what was stored is gone. */
   @Override
   public void close() {
-    server.disposeNow(STOP_TIMEOUT);
+    server.close();
     kernel.dispose();
     scheduler.disposeGracefully().timeout(STOP_TIMEOUT, Mono.empty()).block();
   }
--- a/testing/src/test/java/org/clementinepost/testing/backend/BackendServerStandInTest.java
+++ b/testing/src/test/java/org/clementinepost/testing/backend/BackendServerStandInTest.java
@@ -149,6 +149,17 @@
     assertThat(call("/b").block(MAX_WAIT)).startsWith("200");
   }
 
+  @Test
+  void cutsItsConnectionsWhenKilled() {
+    server.control(HealthOrder.of(HealthMode.FROZEN)).block(MAX_WAIT);
+    Mono<String> answer = call("/a").onErrorReturn("cut").cache();
+    answer.subscribe();
+    awaitReceived(received -> received.count(Counter.TOTAL_RUNS) == 1);
+    server.kill();
+
+    assertThat(answer.block(MAX_WAIT)).isEqualTo("cut");
+  }
+
   @Test
   void takesOrdersOverHttp() {
     String answer =
--- a/testing/src/test/java/org/clementinepost/testing/platform/PlatformStandInTest.java
+++ b/testing/src/test/java/org/clementinepost/testing/platform/PlatformStandInTest.java
@@ -165,6 +165,7 @@
 
   @Test
   void absentPlatformIsUnavailable() {
+    assertThat(await(table.get(HEAD)).isRight()).isTrue();
     standIn.close();
 
     assertThat(code(table.get(HEAD))).isEqualTo(ResultCode.PLATFORM_UNAVAILABLE);
