Judge backend servers by passive evidence, and measure it in virtual time

Cause: routing knew outstanding requests only; a gray backend server kept its share. Change: cumulative log-likelihood sums of failing and slow outcomes against what is normal of the service, kept per endpoint at ingress and per server at its host, whose report goes along with each answer; ejection above the floor, trial requests, a retry budget, 5xx of idempotent requests replaced within it. bin/measures drives the decisions. A 200 ms pause counts as many pieces of evidence, the host's verdict lapses before quiet nodes hear it, and a silent server gives none.

--- /dev/null
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/BaselinePolicy.java
@@ -0,0 +1,79 @@
+package org.clementinepost.benchmarks.measures;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.HostReport;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Decision;
+import org.clementinepost.kernel.Step;
+import org.clementinepost.policy.routing.Placement;
+import org.clementinepost.policy.routing.RoutingEffect;
+import org.clementinepost.policy.routing.RoutingEvent;
+
+/** Routing without ejection and without a retry budget, to compare with. */
+record BaselinePolicy(Chooser chooser)
+    implements Decision<BaselineState, RoutingEvent, RoutingEffect> {
+
+  /** Chooses among the endpoints. */
+  @FunctionalInterface
+  interface Chooser {
+    Endpoint choose(BaselineState state, Vector<Endpoint> candidates, long random);
+  }
+
+  static final BaselinePolicy RANDOM =
+      new BaselinePolicy(
+          (state, candidates, random) ->
+              candidates.get((int) Math.floorMod(random, (long) candidates.size())));
+  static final BaselinePolicy ROUND_ROBIN =
+      new BaselinePolicy(
+          (state, candidates, random) ->
+              candidates.get(Math.floorMod(state.turn(), candidates.size())));
+  static final BaselinePolicy LEAST_OUTSTANDING =
+      new BaselinePolicy(
+          (state, candidates, random) ->
+              rotated(candidates, random).minBy(state::outstandingOf).get());
+
+  /** Ties go to a different endpoint each time. */
+  private static Vector<Endpoint> rotated(Vector<Endpoint> candidates, long random) {
+    return candidates.rotateLeft((int) Math.floorMod(random, (long) candidates.size()));
+  }
+
+  @Override
+  public Step<BaselineState, RoutingEffect> decide(BaselineState state, RoutingEvent event) {
+    if (event instanceof RoutingEvent.Place place) {
+      return place(state, place);
+    }
+    if (event instanceof RoutingEvent.Ended ended) {
+      return Step.to(state.moved(ended.endpoint(), -1));
+    }
+    if (event instanceof RoutingEvent.EndpointsChanged changed) {
+      return Step.to(new BaselineState(changed.endpoints(), state.outstanding(), state.turn()));
+    }
+    if (event instanceof RoutingEvent.Served served) {
+      return Step.to(state, new RoutingEffect.Reported(HostReport.HEALTHY, served.reply()));
+    }
+    return Step.to(state);
+  }
+
+  private Step<BaselineState, RoutingEffect> place(BaselineState state, RoutingEvent.Place place) {
+    Vector<Endpoint> candidates =
+        state.endpoints().reject(endpoint -> place.tried().contains(endpoint.server()));
+    if (candidates.isEmpty()) {
+      Failure nobody = Failure.of(ResultCode.NO_BACKEND_SERVER);
+      return Step.to(
+          state,
+          new RoutingEffect.Placed(place.head(), Either.left(nobody), "refused", place.reply()));
+    }
+    Endpoint chosen = chooser.choose(state, candidates, place.random());
+    BaselineState next = state.moved(chosen, 1);
+    return Step.to(
+        new BaselineState(next.endpoints(), next.outstanding(), state.turn() + 1),
+        new RoutingEffect.Placed(
+            place.head(),
+            Either.right(new Placement(chosen, place.head().timeoutMillis())),
+            "baseline",
+            place.reply()));
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/BaselineState.java
@@ -0,0 +1,24 @@
+package org.clementinepost.benchmarks.measures;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Endpoint;
+
+/** What the baselines know: the endpoints, the outstanding requests and whose turn it is. */
+record BaselineState(
+    Vector<Endpoint> endpoints, Map<BackendServerId, Integer> outstanding, int turn) {
+  static BaselineState empty() {
+    return new BaselineState(Vector.empty(), HashMap.empty(), 0);
+  }
+
+  BaselineState moved(Endpoint endpoint, int change) {
+    int next = outstandingOf(endpoint) + change;
+    return new BaselineState(endpoints, outstanding.put(endpoint.server(), next), turn);
+  }
+
+  int outstandingOf(Endpoint endpoint) {
+    return outstanding.getOrElse(endpoint.server(), 0);
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/MeasuresMain.java
@@ -0,0 +1,47 @@
+package org.clementinepost.benchmarks.measures;
+
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** Measures the routing decisions; the same seed gives the same figures. */
+public final class MeasuresMain {
+  private static final String DEFAULT_HEALTHY_SECONDS = "3600";
+
+  private MeasuresMain() {}
+
+  /** Runs the measures. */
+  public static void main(String[] arguments) throws ParseException, IOException {
+    Options options =
+        new Options()
+            .addOption(null, "seed", true, "the seed")
+            .addOption(null, "healthy-seconds", true, "how long the healthy service is watched")
+            .addOption(null, "scenario", true, "a regular expression for the scenarios")
+            .addOption(null, "output", true, "the folder for the CSV file and the plots");
+    CommandLine line = new DefaultParser().parse(options, arguments);
+    String scenario = line.getOptionValue("scenario", ".*");
+    Suite suite =
+        new Suite(
+            Long.parseLong(line.getOptionValue("seed", "1")),
+            Long.parseLong(line.getOptionValue("healthy-seconds", DEFAULT_HEALTHY_SECONDS)),
+            name -> name.matches(scenario));
+    Vector<Row> rows = suite.run();
+    Vector<Row> summary = Summary.of(rows);
+    new PrintStream(System.out, true).print(Summary.table(summary));
+    if (line.hasOption("output")) {
+      write(Path.of(line.getOptionValue("output")), rows, summary);
+    }
+  }
+
+  private static void write(Path folder, Vector<Row> rows, Vector<Row> summary) throws IOException {
+    Files.createDirectories(folder);
+    Files.write(folder.resolve("measures.csv"), rows.map(Row::csv).prepend(Row.CSV_HEADER));
+    Files.write(folder.resolve("summary.csv"), summary.map(Row::csv).prepend(Row.CSV_HEADER));
+  }
+}
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -61,7 +61,7 @@
             .service(platform)
             .service(ConfigurationService.definition())
             .service(MembershipService.definition(self))
-            .service(RoutingService.definition())
+            .service(RoutingService.definition(self.domain()))
             .service(DirectoryService.definition(self))
             .service(HostService.definition(self))
             .service(ExchangeService.definition(settings.connectionsPerServer()))
--- a/node/src/main/java/org/clementinepost/node/edge/AttemptEnd.java
+++ b/node/src/main/java/org/clementinepost/node/edge/AttemptEnd.java
@@ -1,9 +1,11 @@
 package org.clementinepost.node.edge;
 
+import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResponseHead;
@@ -15,6 +17,9 @@
 
 /** Tells the routing service once how an attempt has ended. */
 final class AttemptEnd {
+  private static final ResponseHead NO_ANSWER =
+      new ResponseHead(0, Vector.empty(), new BackendServerId(""), 0);
+
   private final Address<RoutingMessage> routing;
   private final Endpoint endpoint;
   private final MonotonicClock clock;
@@ -30,7 +35,7 @@
 
   Either<Failure, Answer> watch(Either<Failure, Answer> answer) {
     if (answer.isLeft()) {
-      tell(Option.some(answer.getLeft()), 0, 0);
+      tell(Option.some(answer.getLeft()), NO_ANSWER);
       return answer;
     }
     return Either.right(watch(answer.get()));
@@ -42,25 +47,20 @@
         head,
         answer
             .body()
-            .doOnComplete(() -> tell(Option.none(), head.status(), head.serverMicros()))
-            .doOnError(
-                error ->
-                    tell(
-                        Option.some(Failure.of(ResultCode.BACKEND_ANSWER_LOST)),
-                        head.status(),
-                        head.serverMicros()))
-            .doOnCancel(() -> tell(Option.none(), head.status(), head.serverMicros())));
+            .doOnComplete(() -> tell(Option.none(), head))
+            .doOnError(error -> tell(Option.some(Failure.of(ResultCode.BACKEND_ANSWER_LOST)), head))
+            .doOnCancel(() -> tell(Option.none(), head)));
   }
 
   /** The caller went away; that says nothing of the backend server. */
   void cancelled() {
-    tell(Option.none(), 0, 0);
+    tell(Option.none(), NO_ANSWER);
   }
 
-  private void tell(Option<Failure> failure, int status, long serverMicros) {
+  private void tell(Option<Failure> failure, ResponseHead head) {
     if (told.compareAndSet(false, true)) {
       long totalMicros = TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - startedNanos);
-      routing.send(new RoutingMessage.Ended(endpoint, failure, status, serverMicros, totalMicros));
+      routing.send(new RoutingMessage.Ended(endpoint, failure, head, totalMicros));
     }
   }
 }
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -12,6 +12,7 @@
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.RunState;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Ask;
 import org.clementinepost.kernel.MonotonicClock;
@@ -25,9 +26,11 @@
 import org.clementinepost.node.exchange.Exchanges;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
+import org.clementinepost.node.routing.HostReports;
 import org.clementinepost.node.routing.RoutingMessage;
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.policy.access.ArrivedRequest;
+import org.clementinepost.policy.routing.Placement;
 import org.clementinepost.policy.routing.RetryPolicy;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -78,15 +81,23 @@
 
   private Mono<Either<Failure, Answer>> attempt(
       RequestHead head, UploadBody body, Set<BackendServerId> tried, long deadlineNanos) {
-    Mono<Either<Failure, Endpoint>> placed =
-        Ask.of(routing, reply -> new RoutingMessage.Place(head, tried, reply));
     return Results.then(
-        placed,
-        endpoint ->
-            exchange(endpoint, head, body)
-                .flatMap(
-                    answer ->
-                        answered(head, body, tried.add(endpoint.server()), deadlineNanos, answer)));
+        place(head, tried), placement -> attempt(head, body, tried, deadlineNanos, placement));
+  }
+
+  private Mono<Either<Failure, Placement>> place(RequestHead head, Set<BackendServerId> tried) {
+    return Ask.of(routing, reply -> new RoutingMessage.Place(head, tried, reply));
+  }
+
+  private Mono<Either<Failure, Answer>> attempt(
+      RequestHead head,
+      UploadBody body,
+      Set<BackendServerId> tried,
+      long deadlineNanos,
+      Placement placement) {
+    Set<BackendServerId> nowTried = tried.add(placement.endpoint().server());
+    return exchange(placement, head, body)
+        .flatMap(answer -> answered(head, body, nowTried, deadlineNanos, answer));
   }
 
   private Mono<Either<Failure, Answer>> answered(
@@ -96,29 +107,49 @@
       long deadlineNanos,
       Either<Failure, Answer> answer) {
     long remainingMillis = remainingMillis(deadlineNanos);
-    boolean again =
-        answer.isLeft()
-            && RetryPolicy.mayTryAgain(head, answer.getLeft(), body.started(), remainingMillis);
-    if (!again) {
+    if (!mayFollow(head, answer, body.started(), remainingMillis)) {
       return Mono.just(answer);
     }
     RequestHead next = head.nextAttempt(head.attempt() + 1, remainingMillis);
-    return attempt(next, body, tried, deadlineNanos)
-        .map(second -> moreTelling(answer.getLeft(), second));
+    return place(next, tried)
+        .flatMap(
+            placed ->
+                placed.fold(
+                    nobody -> Mono.just(answer),
+                    placement -> {
+                      answer.forEach(Answer::discard);
+                      return attempt(next, body, tried, deadlineNanos, placement)
+                          .map(second -> moreTelling(answer, second));
+                    }));
+  }
+
+  private static boolean mayFollow(
+      RequestHead head, Either<Failure, Answer> answer, boolean bodyStarted, long remainingMillis) {
+    return answer.fold(
+        failure -> RetryPolicy.mayTryAgain(head, failure, bodyStarted, remainingMillis),
+        whole ->
+            RetryPolicy.mayReplaceAnswer(
+                head, whole.head().status(), bodyStarted, remainingMillis));
   }
 
-  /** When nobody is left to try, the caller is told why the tries before failed. */
+  /** A refusal of the next attempt does not make the one before not run. */
   private static Either<Failure, Answer> moreTelling(
-      Failure first, Either<Failure, Answer> second) {
-    boolean nobodyLeft = second.isLeft() && second.getLeft().code() == ResultCode.RETRIES_EXHAUSTED;
-    return nobodyLeft ? Either.left(first) : second;
+      Either<Failure, Answer> first, Either<Failure, Answer> second) {
+    if (second.isRight() || second.getLeft().runState() != RunState.NOT_RUN) {
+      return second;
+    }
+    if (first.isRight()) {
+      return Either.left(Failure.of(ResultCode.BACKEND_ANSWER_LOST));
+    }
+    return first.getLeft().runState() == RunState.NOT_RUN ? second : first;
   }
 
   private Mono<Either<Failure, Answer>> exchange(
-      Endpoint endpoint, RequestHead head, UploadBody body) {
+      Placement placement, RequestHead head, UploadBody body) {
+    Endpoint endpoint = placement.endpoint();
     AttemptEnd end = new AttemptEnd(routing, endpoint, clock);
     return ask(endpoint, head, body)
-        .timeout(Duration.ofMillis(head.timeoutMillis() + HOST_GRACE_MILLIS), scheduler)
+        .timeout(Duration.ofMillis(waitMillis(placement, head)), scheduler)
         .onErrorResume(
             TimeoutException.class,
             error -> Mono.just(Either.left(Failure.of(ResultCode.BACKEND_TIMED_OUT))))
@@ -126,12 +157,24 @@
         .doOnCancel(end::cancelled);
   }
 
+  /** The host keeps the deadline itself; its word is waited for a little longer. */
+  private static long waitMillis(Placement placement, RequestHead head) {
+    return placement.patienceMillis() < head.timeoutMillis()
+        ? placement.patienceMillis()
+        : head.timeoutMillis() + HOST_GRACE_MILLIS;
+  }
+
   private Mono<Either<Failure, Answer>> ask(Endpoint endpoint, RequestHead head, UploadBody body) {
     if (endpoint.host().equals(self)) {
-      return Exchanges.ask(
-          exchanges,
-          (cancelled, reply) ->
-              new ExchangeMessage.Send(endpoint.server(), head, body.body(), cancelled, reply));
+      return HostReports.add(
+          routing,
+          endpoint.server(),
+          endpoint.service(),
+          Exchanges.ask(
+              exchanges,
+              (cancelled, reply) ->
+                  new ExchangeMessage.Send(
+                      endpoint.server(), head, body.body(), cancelled, reply)));
     }
     return Exchanges.ask(
         peers,
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -17,6 +17,7 @@
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.wire.PeerCodec;
 
 /**
@@ -58,7 +59,10 @@
         opener
             ? new OpenedStreams(context.self(), this::write)
             : new ServedStreams(
-                context.self(), this::write, context.registry().find(ExchangeService.NAME));
+                context.self(),
+                this::write,
+                context.registry().find(ExchangeService.NAME),
+                context.registry().find(RoutingService.NAME));
     this.lastHeardNanos = context.clock().nowNanos();
     this.timerName = "peer-connection-" + System.identityHashCode(this);
     write(new LinkMessage.Hello(self.node(), self.incarnation()));
--- a/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
@@ -14,6 +14,8 @@
 import org.clementinepost.node.exchange.Answer;
 import org.clementinepost.node.exchange.ExchangeMessage;
 import org.clementinepost.node.exchange.Exchanges;
+import org.clementinepost.node.routing.HostReports;
+import org.clementinepost.node.routing.RoutingMessage;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 
@@ -26,16 +28,19 @@
   private final Address<ConnectionMessage> self;
   private final Consumer<PeerMessage> wire;
   private final Address<ExchangeMessage> exchanges;
+  private final Address<RoutingMessage> routing;
   private Map<Long, Served> streams = HashMap.empty();
   private long lastStreamId;
 
   ServedStreams(
       Address<ConnectionMessage> self,
       Consumer<PeerMessage> wire,
-      Address<ExchangeMessage> exchanges) {
+      Address<ExchangeMessage> exchanges,
+      Address<RoutingMessage> routing) {
     this.self = self;
     this.wire = wire;
     this.exchanges = exchanges;
+    this.routing = routing;
   }
 
   @Override
@@ -61,10 +66,14 @@
             : Option.some(new BodyReceiver(streamId, self));
     Flux<Chunk> body = request.map(BodyReceiver::body).getOrElse(Flux.empty());
     Disposable exchange =
-        Exchanges.ask(
-                exchanges,
-                (cancelled, reply) ->
-                    new ExchangeMessage.Send(open.server(), head, body, cancelled, reply))
+        HostReports.add(
+                routing,
+                open.server(),
+                head.service(),
+                Exchanges.ask(
+                    exchanges,
+                    (cancelled, reply) ->
+                        new ExchangeMessage.Send(open.server(), head, body, cancelled, reply)))
             .subscribe(answer -> answered(streamId, answer));
     streams = streams.put(streamId, new Served(request, exchange, Option.none()));
   }
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
@@ -1,10 +1,15 @@
 package org.clementinepost.node.routing;
 
 import com.google.common.flogger.FluentLogger;
+import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.kernel.TimerService;
+import org.clementinepost.node.configuration.ConfigurationMessage;
+import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.policy.routing.RoutingEffect;
 import org.clementinepost.policy.routing.RoutingEvent;
 import org.clementinepost.policy.routing.RoutingPolicy;
@@ -17,54 +22,113 @@
       ServiceName.of("routing", RoutingMessage.class);
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TICK_MILLIS = 100;
 
   private RoutingService() {}
 
-  /** Defines the service. */
-  public static ServiceDefinition<RoutingMessage> definition() {
+  /** Defines the service on a node of a failure domain. */
+  public static ServiceDefinition<RoutingMessage> definition(FailureDomainId domain) {
     return new ServiceDefinition<>(
-        NAME, ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES, RoutingService::start);
+        NAME, ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES, context -> start(context, domain));
   }
 
-  private static Behaviour<RoutingMessage> start(TaskContext<RoutingMessage> context) {
+  private static Behaviour<RoutingMessage> start(
+      TaskContext<RoutingMessage> context, FailureDomainId domain) {
+    context
+        .registry()
+        .find(TimerService.NAME)
+        .send(
+            new TimerService.Every(
+                NAME.text(),
+                TICK_MILLIS,
+                TICK_MILLIS,
+                () -> context.self().send(new RoutingMessage.Tick())));
+    context
+        .registry()
+        .find(ConfigurationService.NAME)
+        .send(
+            new ConfigurationMessage.Subscribe(
+                snapshot -> context.self().send(new RoutingMessage.Configured(snapshot))));
     return Behaviour.deciding(
         RoutingState.empty(),
         message -> event(message, context),
-        new RoutingPolicy(),
-        RoutingService::handle);
+        RoutingPolicy.builder().domain(domain).build(),
+        effect -> handle(effect, context.clock()));
   }
 
   private static RoutingEvent event(RoutingMessage message, TaskContext<RoutingMessage> context) {
+    long nowNanos = context.clock().nowNanos();
     if (message instanceof RoutingMessage.Place place) {
       return new RoutingEvent.Place(
-          place.head(),
-          place.tried(),
-          context.random().nextLong(),
-          context.clock().nowNanos(),
-          place.reply());
+          place.head(), place.tried(), context.random().nextLong(), nowNanos, place.reply());
     }
     if (message instanceof RoutingMessage.Ended ended) {
       return new RoutingEvent.Ended(
           ended.endpoint(),
           ended.failure(),
-          ended.status(),
-          ended.serverMicros(),
+          ended.head().status(),
+          ended.head().serverMicros(),
           ended.totalMicros(),
-          context.clock().nowNanos());
+          ended.head().report(),
+          nowNanos);
     }
-    RoutingMessage.EndpointsChanged changed = (RoutingMessage.EndpointsChanged) message;
-    return new RoutingEvent.EndpointsChanged(changed.service(), changed.endpoints());
+    if (message instanceof RoutingMessage.Served served) {
+      return new RoutingEvent.Served(
+          served.server(),
+          served.service(),
+          served.failure(),
+          served.status(),
+          served.serverMicros(),
+          nowNanos,
+          served.reply());
+    }
+    if (message instanceof RoutingMessage.EndpointsChanged changed) {
+      return new RoutingEvent.EndpointsChanged(changed.service(), changed.endpoints(), nowNanos);
+    }
+    if (message instanceof RoutingMessage.Configured configured) {
+      return new RoutingEvent.Configured(configured.snapshot().services(), nowNanos);
+    }
+    return new RoutingEvent.Tick(nowNanos);
+  }
+
+  private static void handle(RoutingEffect effect, MonotonicClock clock) {
+    if (effect instanceof RoutingEffect.Placed placed) {
+      log(placed);
+      placed.reply().send(placed.answer());
+      return;
+    }
+    if (effect instanceof RoutingEffect.Reported reported) {
+      reported.reply().send(reported.report());
+      return;
+    }
+    if (effect instanceof RoutingEffect.Ejected ejected) {
+      logger.atWarning().log(
+          "event=ejection service=%s server=%s host=%s reason=%s strikes=%d backoffMillis=%d",
+          ejected.endpoint().service(),
+          ejected.endpoint().server(),
+          ejected.endpoint().host(),
+          ejected.reason().label(),
+          ejected.strikes(),
+          (ejected.untilNanos() - clock.nowNanos()) / 1_000_000);
+      return;
+    }
+    RoutingEffect.Readmitted readmitted = (RoutingEffect.Readmitted) effect;
+    logger.atInfo().log(
+        "event=readmission service=%s server=%s",
+        readmitted.endpoint().service(), readmitted.endpoint().server());
   }
 
-  private static void handle(RoutingEffect effect) {
-    RoutingEffect.Placed placed = (RoutingEffect.Placed) effect;
+  private static void log(RoutingEffect.Placed placed) {
     logger.atInfo().log(
         "event=placement request=%s attempt=%d service=%s server=%s reason=%s",
         placed.head().requestId(),
         placed.head().attempt(),
         placed.head().service(),
-        placed.answer().fold(failure -> "none/" + failure.code().number(), e -> e.server().value()),
+        placed
+            .answer()
+            .fold(
+                failure -> "none/" + failure.code().number(),
+                placement -> placement.endpoint().server().value()),
         placed.reason());
-    placed.reply().send(placed.answer());
   }
 }
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/routing/LessLoadedOfTwo.java
@@ -0,0 +1,70 @@
+package org.clementinepost.policy.routing;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.FailureDomainId;
+
+/**
+ * Chooses the less loaded of two endpoints drawn at random.
+ *
+ * <p>Two draws spread load nearly as well as a look at all endpoints, and do not send every ingress
+ * node to the same idle backend server at once. Between two that are equally loaded the one in the
+ * node's own failure domain goes first. A suspected one counts as more loaded, and one that was
+ * re-admitted of late gives way by chance.
+ *
+ * @param own the failure domain of this node
+ */
+record LessLoadedOfTwo(Option<FailureDomainId> own) implements EndpointChooser {
+  private static final int SUSPECT_REQUESTS = 4;
+  private static final int RANDOM_BITS = 20;
+
+  @Override
+  public Endpoint choose(
+      ServiceState service, Vector<Endpoint> candidates, long random, long nowNanos) {
+    int size = candidates.size();
+    if (size == 1) {
+      return candidates.head();
+    }
+    int firstIndex = Math.floorMod((int) random, size);
+    int step = 1 + Math.floorMod((int) (random >>> Integer.SIZE), size - 1);
+    EndpointState first = state(service, candidates.get(firstIndex));
+    EndpointState second = state(service, candidates.get((firstIndex + step) % size));
+    double chance = (double) (random >>> (Long.SIZE - RANDOM_BITS)) / (1L << RANDOM_BITS);
+    if (givesWay(first, chance, nowNanos)) {
+      return second.endpoint();
+    }
+    if (givesWay(second, chance, nowNanos)) {
+      return first.endpoint();
+    }
+    return lessLoaded(first, second).endpoint();
+  }
+
+  private static EndpointState state(ServiceState service, Endpoint endpoint) {
+    return service.server(endpoint.server()).getOrElse(() -> EndpointState.of(endpoint));
+  }
+
+  private static boolean givesWay(EndpointState state, double chance, long nowNanos) {
+    return state.standing() instanceof Standing.InUse inUse
+        && inUse.ramping()
+        && chance > inUse.weight(nowNanos);
+  }
+
+  private EndpointState lessLoaded(EndpointState first, EndpointState second) {
+    long firstLoad = load(first) * second.endpoint().slots();
+    long secondLoad = load(second) * first.endpoint().slots();
+    if (firstLoad != secondLoad) {
+      return firstLoad < secondLoad ? first : second;
+    }
+    return isNear(second) && !isNear(first) ? second : first;
+  }
+
+  private static long load(EndpointState state) {
+    int suspicion = state.evidence().suspects() ? SUSPECT_REQUESTS : 0;
+    return state.outstanding().count() + suspicion;
+  }
+
+  private boolean isNear(EndpointState state) {
+    return own.contains(state.endpoint().domain());
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/routing/OutcomePolicy.java
@@ -0,0 +1,69 @@
+package org.clementinepost.policy.routing;
+
+import io.vavr.control.Option;
+import org.clementinepost.api.ResultCode;
+
+/**
+ * Tells what the end of an attempt says of the backend server and what of the path to its host.
+ *
+ * <p>A refusal says nothing against either, nor does a caller that went away. An answer that is
+ * wrong but has a good status cannot be told from a right one here.
+ */
+final class OutcomePolicy {
+  private static final int FIRST_SERVER_ERROR_STATUS = 500;
+
+  private OutcomePolicy() {}
+
+  static Option<Outcome> ofServer(RoutingEvent.Ended ended, Reference reference) {
+    if (ended.failure().isDefined()) {
+      return ofServerFailure(ended.failure().get().code(), ended.totalMicros(), reference);
+    }
+    return ofAnswer(ended.status(), ended.serverMicros(), reference);
+  }
+
+  static Option<Outcome> ofServed(RoutingEvent.Served served, Reference reference) {
+    if (served.failure().isDefined()) {
+      return ofServerFailure(served.failure().get().code(), served.serverMicros(), reference);
+    }
+    return ofAnswer(served.status(), served.serverMicros(), reference);
+  }
+
+  private static Option<Outcome> ofAnswer(int status, long serverMicros, Reference reference) {
+    if (status == 0) {
+      return Option.none();
+    }
+    return Option.some(
+        new Outcome(status >= FIRST_SERVER_ERROR_STATUS, reference.isSlow(serverMicros)));
+  }
+
+  /** A deadline that was too short for anyone is no failure of the backend server. */
+  private static Option<Outcome> ofServerFailure(
+      ResultCode code, long totalMicros, Reference reference) {
+    if (code == ResultCode.BACKEND_ANSWER_LOST || code == ResultCode.BACKEND_CONNECT_FAILED) {
+      return Option.some(Outcome.FAILING);
+    }
+    if (code == ResultCode.BACKEND_TIMED_OUT && reference.isSlow(totalMicros)) {
+      return Option.some(Outcome.FAILING);
+    }
+    return Option.none();
+  }
+
+  static Option<Outcome> ofPath(RoutingEvent.Ended ended, Reference reference) {
+    if (ended.failure().isDefined()) {
+      return isPathFailure(ended.failure().get().code())
+          ? Option.some(Outcome.FAILING)
+          : Option.none();
+    }
+    if (ended.status() == 0) {
+      return Option.none();
+    }
+    boolean slow = reference.isSlowPath(ended.totalMicros() - ended.serverMicros());
+    return Option.some(slow ? Outcome.SLOW : Outcome.GOOD);
+  }
+
+  private static boolean isPathFailure(ResultCode code) {
+    return code == ResultCode.PEER_UNREACHABLE
+        || code == ResultCode.PEER_LOST
+        || code == ResultCode.PEER_PROTOCOL;
+  }
+}
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingEffect.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingEffect.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.HostReport;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.kernel.Reply;
 
@@ -11,8 +12,25 @@
   /** Answers the one who asked for a backend server. */
   record Placed(
       RequestHead head,
-      Either<Failure, Endpoint> answer,
+      Either<Failure, Placement> answer,
       String reason,
-      Reply<Either<Failure, Endpoint>> reply)
+      Reply<Either<Failure, Placement>> reply)
       implements RoutingEffect {}
+
+  /**
+   * Tells that a backend server gets no more requests of this node for a while.
+   *
+   * @param endpoint the backend server
+   * @param reason what the verdict rests on
+   * @param strikes the ejections in a row
+   * @param untilNanos when the first trial request may be sent
+   */
+  record Ejected(Endpoint endpoint, EjectionReason reason, int strikes, long untilNanos)
+      implements RoutingEffect {}
+
+  /** Tells that a backend server gets requests again. */
+  record Readmitted(Endpoint endpoint) implements RoutingEffect {}
+
+  /** Answers with what the host knows of its backend server. */
+  record Reported(HostReport report, Reply<HostReport> reply) implements RoutingEffect {}
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingEvent.java
@@ -1,5 +1,6 @@
 package org.clementinepost.policy.routing;
 
+import io.vavr.collection.Map;
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
@@ -7,14 +8,20 @@
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.HostReport;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.config.Service;
 import org.clementinepost.kernel.Reply;
 
 /** What the routing decision is told. */
 public sealed interface RoutingEvent {
   /** The directory's view of a service has changed. */
-  record EndpointsChanged(ServiceId service, Vector<Endpoint> endpoints) implements RoutingEvent {}
+  record EndpointsChanged(ServiceId service, Vector<Endpoint> endpoints, long nowNanos)
+      implements RoutingEvent {}
+
+  /** The services as they are configured now. */
+  record Configured(Map<ServiceId, Service> services, long nowNanos) implements RoutingEvent {}
 
   /**
    * Asks for a backend server for a request.
@@ -30,7 +37,7 @@
       Set<BackendServerId> tried,
       long random,
       long nowNanos,
-      Reply<Either<Failure, Endpoint>> reply)
+      Reply<Either<Failure, Placement>> reply)
       implements RoutingEvent {}
 
   /**
@@ -41,6 +48,7 @@
    * @param status the HTTP status of the answer, zero without one
    * @param serverMicros the time that the backend server took
    * @param totalMicros the time that the attempt took as ingress saw it
+   * @param report what the host has seen of the backend server
    * @param nowNanos the time of the end
    */
   record Ended(
@@ -49,6 +57,31 @@
       int status,
       long serverMicros,
       long totalMicros,
+      HostReport report,
       long nowNanos)
       implements RoutingEvent {}
+
+  /**
+   * Tells a host how its own backend server did on a request, whichever ingress node it came from.
+   *
+   * @param server the backend server
+   * @param service the service of the request
+   * @param failure why no answer came; none when one came
+   * @param status the HTTP status of the answer, zero without one
+   * @param serverMicros the time that the backend server took
+   * @param nowNanos the time of the answer
+   * @param reply takes what the host knows of the backend server
+   */
+  record Served(
+      BackendServerId server,
+      ServiceId service,
+      Option<Failure> failure,
+      int status,
+      long serverMicros,
+      long nowNanos,
+      Reply<HostReport> reply)
+      implements RoutingEvent {}
+
+  /** It is time to look for requests that have gone without an answer for too long. */
+  record Tick(long nowNanos) implements RoutingEvent {}
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
@@ -1,76 +1,91 @@
 package org.clementinepost.policy.routing;
 
-import io.vavr.collection.Vector;
-import io.vavr.control.Either;
+import io.vavr.Tuple;
+import io.vavr.collection.Map;
+import io.vavr.control.Option;
+import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Endpoint;
-import org.clementinepost.api.Failure;
-import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.kernel.Decision;
 import org.clementinepost.kernel.Step;
 
-/**
- * Chooses the less loaded of two endpoints drawn at random.
- *
- * <p>Two draws spread load nearly as well as a look at all endpoints, and do not send every ingress
- * node to the same idle backend server at once.
- */
+/** Chooses backend servers, and ejects those that are sick while the service can spare them. */
 public final class RoutingPolicy implements Decision<RoutingState, RoutingEvent, RoutingEffect> {
-  @Override
-  public Step<RoutingState, RoutingEffect> decide(RoutingState state, RoutingEvent event) {
-    if (event instanceof RoutingEvent.EndpointsChanged changed) {
-      return Step.to(
-          new RoutingState(
-              state.endpoints().put(changed.service(), changed.endpoints()), state.outstanding()));
+  private final PlacementPolicy placement;
+
+  private RoutingPolicy(Builder builder) {
+    this.placement = new PlacementPolicy(new LessLoadedOfTwo(builder.domain));
+  }
+
+  /** Starts the description of a policy. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Builds a policy. */
+  public static final class Builder {
+    private Option<FailureDomainId> domain = Option.none();
+
+    private Builder() {}
+
+    /** Sets the failure domain of the node that chooses. */
+    public Builder domain(FailureDomainId own) {
+      this.domain = Option.some(own);
+      return this;
     }
-    if (event instanceof RoutingEvent.Place place) {
-      return place(state, place);
+
+    /** Builds the policy. */
+    public RoutingPolicy build() {
+      return new RoutingPolicy(this);
     }
-    return Step.to(ended(state, (RoutingEvent.Ended) event));
   }
 
-  private static Step<RoutingState, RoutingEffect> place(
-      RoutingState state, RoutingEvent.Place place) {
-    Vector<Endpoint> candidates =
-        state
-            .endpoints()
-            .getOrElse(place.head().service(), Vector.empty())
-            .reject(endpoint -> place.tried().contains(endpoint.server()));
-    if (candidates.isEmpty()) {
-      ResultCode code =
-          place.tried().isEmpty() ? ResultCode.NO_BACKEND_SERVER : ResultCode.RETRIES_EXHAUSTED;
-      Failure failure = Failure.of(code, place.head().service().value());
-      return Step.to(
-          state,
-          new RoutingEffect.Placed(
-              place.head(), Either.left(failure), "no-candidate", place.reply()));
+  @Override
+  public Step<RoutingState, RoutingEffect> decide(RoutingState state, RoutingEvent event) {
+    if (event instanceof RoutingEvent.Place place) {
+      return placement.place(state, place);
+    }
+    if (event instanceof RoutingEvent.Ended ended) {
+      return EvidencePolicy.ended(state, ended);
     }
-    Endpoint chosen = lessLoaded(state, candidates, place.random());
-    RoutingState next = withOutstanding(state, chosen, 1);
-    return Step.to(
-        next,
-        new RoutingEffect.Placed(
-            place.head(), Either.right(chosen), "less-loaded-of-two", place.reply()));
+    if (event instanceof RoutingEvent.Served served) {
+      return EvidencePolicy.served(state, served);
+    }
+    if (event instanceof RoutingEvent.EndpointsChanged changed) {
+      return Step.to(changed(state, changed));
+    }
+    if (event instanceof RoutingEvent.Configured configured) {
+      return Step.to(configured(state, configured));
+    }
+    return EvidencePolicy.ticked(state, ((RoutingEvent.Tick) event).nowNanos());
   }
 
-  private static Endpoint lessLoaded(RoutingState state, Vector<Endpoint> candidates, long random) {
-    int size = candidates.size();
-    Endpoint first = candidates.get((int) Math.floorMod(random, (long) size));
-    Endpoint second = candidates.get((int) Math.floorMod(random >>> 32, (long) size));
-    long firstLoad = (long) state.outstandingOf(first) * second.slots();
-    long secondLoad = (long) state.outstandingOf(second) * first.slots();
-    return firstLoad <= secondLoad ? first : second;
+  private static RoutingState changed(RoutingState state, RoutingEvent.EndpointsChanged changed) {
+    ServiceState service = state.service(changed.service());
+    Map<BackendServerId, EndpointState> servers =
+        changed.endpoints().toMap(Endpoint::server, endpoint -> known(service, endpoint));
+    ServiceState next = service.withServers(servers).regrouped();
+    return state.with(changed.service(), EjectionPolicy.keepFloor(next, changed.nowNanos()));
   }
 
-  private static RoutingState ended(RoutingState state, RoutingEvent.Ended ended) {
-    return withOutstanding(state, ended.endpoint(), -1);
+  private static EndpointState known(ServiceState service, Endpoint endpoint) {
+    return service
+        .server(endpoint.server())
+        .map(state -> state.with(endpoint))
+        .getOrElse(() -> EndpointState.of(endpoint));
   }
 
-  private static RoutingState withOutstanding(RoutingState state, Endpoint endpoint, int change) {
-    int next = state.outstandingOf(endpoint) + change;
-    return new RoutingState(
-        state.endpoints(),
-        next <= 0
-            ? state.outstanding().remove(endpoint.server())
-            : state.outstanding().put(endpoint.server(), next));
+  private static RoutingState configured(RoutingState state, RoutingEvent.Configured configured) {
+    RoutingState next = state.withConfigured(configured.services());
+    return next.withServices(
+        state
+            .services()
+            .map(
+                (id, service) ->
+                    Tuple.of(
+                        id,
+                        EjectionPolicy.keepFloor(
+                            service.withFloorPercent(next.floorPercent(id)),
+                            configured.nowNanos()))));
   }
 }
--- a/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
+++ b/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
@@ -6,6 +6,7 @@
 import org.clementinepost.api.CustomerId;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.HeaderField;
+import org.clementinepost.api.HostReport;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.RequestId;
 import org.clementinepost.api.ResponseHead;
@@ -103,6 +104,7 @@
     Fields.writeAll(packer, head.headers(), StreamMessageTypes::write);
     packer.packString(head.server().value());
     packer.packLong(head.serverMicros());
+    packer.packInt(head.report().number());
   }
 
   private static StreamMessage.Answered readAnswered(MessageUnpacker unpacker) throws IOException {
@@ -112,7 +114,8 @@
             unpacker.unpackInt(),
             Fields.readAll(unpacker, StreamMessageTypes::readHeader),
             new BackendServerId(unpacker.unpackString()),
-            unpacker.unpackLong());
+            unpacker.unpackLong(),
+            HostReport.ofNumber(unpacker.unpackInt()));
     return new StreamMessage.Answered(streamId, head);
   }
 
