--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -84,7 +84,7 @@
         .service(platform(settings))
         .service(ConfigurationService.definition())
         .service(MembershipService.definition(self))
-        .service(RoutingService.definition())
+        .service(RoutingService.definition(self.domain()))
         .service(DirectoryService.definition(self))
         .service(HostService.definition(self))
         .service(ExchangeService.definition(settings.connectionsPerServer()))
