--- a/api/src/main/java/org/clementinepost/api/peer/QuotaMessage.java
+++ b/api/src/main/java/org/clementinepost/api/peer/QuotaMessage.java
@@ -81,8 +81,9 @@
    *
    * @param generation the sender's incarnation
    * @param round tells the answers to one question from those to another
+   * @param leaseMillis the lease of the tenure; a witness that has started since may have forgotten
    */
-  record Confirm(long generation, long round) implements QuotaMessage {}
+  record Confirm(long generation, long round, long leaseMillis) implements QuotaMessage {}
 
   /** A witness knows of no end of the tenure. */
   record Confirmed(long generation, long round) implements QuotaMessage {}
--- a/wire/src/main/java/org/clementinepost/wire/QuotaMessageTypes.java
+++ b/wire/src/main/java/org/clementinepost/wire/QuotaMessageTypes.java
@@ -63,8 +63,14 @@
         new MessageType<>(
             45,
             QuotaMessage.Confirm.class,
-            (packer, confirm) -> packer.packLong(confirm.generation()).packLong(confirm.round()),
-            unpacker -> new QuotaMessage.Confirm(unpacker.unpackLong(), unpacker.unpackLong())),
+            (packer, confirm) ->
+                packer
+                    .packLong(confirm.generation())
+                    .packLong(confirm.round())
+                    .packLong(confirm.leaseMillis()),
+            unpacker ->
+                new QuotaMessage.Confirm(
+                    unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong())),
         new MessageType<>(
             46,
             QuotaMessage.Confirmed.class,
