--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/latency/OpenLoopLoad.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/latency/OpenLoopLoad.java
@@ -97,7 +97,7 @@
     }
 
     Iterable<Long> numbers() {
-      return () -> LongStream.range(from, to).iterator();
+      return LongStream.range(from, to).boxed().toList();
     }
   }
 }
--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -90,3 +90,28 @@
  "platform": {"tableUrl": "$3", "objectsUrl": "$4"}}
 JSON
 }
+
+# await_answer PORT PATH KEY: waits until a node answers a request with 200.
+await_answer() {
+  local tries status
+  for ((tries = 0; tries < 300; tries++)); do
+    status="$(ask "$1" "$2" "$3" 2>/dev/null || true)"
+    if [ "$status" = 200 ]; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  echo "no answer at port $1: $status" >&2
+  return 1
+}
+
+# ask PORT PATH KEY: prints the status of one request, with nothing but the shell.
+ask() {
+  local status
+  exec 3<>"/dev/tcp/127.0.0.1/$1"
+  printf 'GET %s HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer %s\r\nConnection: close\r\n\r\n' \
+    "$2" "$3" >&3
+  read -r -t 5 _ status _ <&3
+  exec 3>&-
+  echo "$status"
+}
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -31,7 +31,6 @@
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.node.settings.NodeSettings;
-import org.clementinepost.platform.InMemoryPlatform;
 import org.clementinepost.platform.PlatformService;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -61,27 +60,35 @@
   /**
    * Starts a node.
    *
+   * @param platform the platform's client, or a platform in memory
    * @param incarnation grows at each start of a node of this name
    */
-  public static Node start(NodeSettings settings, long incarnation) {
+  static Node start(
+      NodeSettings settings,
+      ServiceDefinition<PlatformService.Message> platform,
+      long incarnation) {
     PeerListener listener =
         PeerListener.open(
             settings.peer(),
             address -> new Member(settings.node(), incarnation, address, settings.domain()));
     Scheduler scheduler =
         Schedulers.newParallel("node", Runtime.getRuntime().availableProcessors(), true);
-    Kernel kernel = kernel(settings, listener, scheduler, incarnation);
+    Kernel kernel = kernel(settings, platform, listener, scheduler, incarnation);
     return new Node(settings, scheduler, kernel, listener.self());
   }
 
   private static Kernel kernel(
-      NodeSettings settings, PeerListener listener, Scheduler scheduler, long seed) {
+      NodeSettings settings,
+      ServiceDefinition<PlatformService.Message> platform,
+      PeerListener listener,
+      Scheduler scheduler,
+      long seed) {
     Member self = listener.self();
     return Kernel.builder()
         .scheduler(scheduler)
         .seed(seed)
         .service(MetricsService.definition())
-        .service(platform(settings))
+        .service(platform)
         .service(ConfigurationService.definition())
         .service(MembershipService.definition(self))
         .service(RoutingService.definition(self.domain()))
@@ -96,13 +103,6 @@
         .start();
   }
 
-  private static ServiceDefinition<PlatformService.Message> platform(NodeSettings settings) {
-    return settings
-        .platform()
-        .map(PlatformService::definition)
-        .getOrElse(() -> PlatformService.definition(InMemoryPlatform.create()));
-  }
-
   private static ControlReceiver controlReceiver(Registry registry) {
     return (from, message) -> dispatch(registry, from, message);
   }
--- a/node/src/main/java/org/clementinepost/node/NodeMain.java
+++ b/node/src/main/java/org/clementinepost/node/NodeMain.java
@@ -10,11 +10,15 @@
 import java.nio.file.Path;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.node.settings.NodeSettings;
 import org.clementinepost.node.settings.NodeSettingsReader;
 import org.clementinepost.node.settings.SettingsFinding;
 import org.clementinepost.node.settings.SettingsReference;
+import org.clementinepost.platform.PlatformService;
+import org.clementinepost.platform.config.source.Finding;
 import reactor.core.publisher.Mono;
+import reactor.netty.ChannelBindException;
 
 /** The binary {@code clementinepost}: runs one node until it is told to stop. */
 public final class NodeMain {
@@ -83,15 +87,45 @@
       settings.getLeft().forEach(finding -> err.println(finding.line()));
       return settings.getLeft().head().code().exitCode();
     }
+    Either<Vector<Finding>, ServiceDefinition<PlatformService.Message>> platform =
+        platform(settings.get());
+    if (platform.isLeft()) {
+      platform.getLeft().forEach(finding -> err.println(line(finding)));
+      return platform.getLeft().head().code().exitCode();
+    }
     if (line.action() == NodeCommandLine.Action.CHECK) {
       return print("settings are in order");
     }
-    return start(settings.get());
+    return start(settings.get(), platform.get());
+  }
+
+  private static String line(Finding finding) {
+    return "error "
+        + finding.code().number()
+        + " "
+        + finding.file()
+        + finding.pointer()
+        + ": "
+        + finding.problem()
+        + "; "
+        + finding.hint();
+  }
+
+  private static Either<Vector<Finding>, ServiceDefinition<PlatformService.Message>> platform(
+      NodeSettings settings) {
+    if (settings.platform().isDefined()) {
+      return Either.right(PlatformService.definition(settings.platform().get()));
+    }
+    return settings
+        .embeddedObjectsFolder()
+        .map(folder -> EmbeddedPlatform.of(Path.of(folder)))
+        .getOrElse(() -> Either.right(EmbeddedPlatform.empty()))
+        .map(PlatformService::definition);
   }
 
-  private int start(NodeSettings settings) {
+  private int start(NodeSettings settings, ServiceDefinition<PlatformService.Message> platform) {
     try {
-      Node node = Node.start(settings, System.currentTimeMillis());
+      Node node = Node.start(settings, platform, System.currentTimeMillis());
       Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "node-stop"));
       NodePorts ports = node.ports().block();
       logger.atInfo().log(
@@ -107,7 +141,7 @@
 
   private static ResultCode startFailure(Exception error) {
     boolean port = error.getCause() instanceof BindException || error instanceof BindException;
-    return port || error instanceof reactor.netty.ChannelBindException
+    return port || error instanceof ChannelBindException
         ? ResultCode.PORT_UNAVAILABLE
         : ResultCode.INTERNAL;
   }
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -2,8 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.ChannelGroupFuture;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.util.concurrent.DefaultEventExecutor;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -44,7 +45,7 @@
   private final Address<MetricsMessage> metrics;
   private final MonotonicClock clock;
   private final EdgeLimits limits;
-  private final ChannelGroup connections = new DefaultChannelGroup(new DefaultEventExecutor());
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final DisposableServer server;
   private final String idPrefix;
   private final AtomicLong nextId = new AtomicLong();
@@ -131,6 +132,6 @@
   @Override
   public void stop() {
     server.dispose();
-    connections.close();
+    ChannelGroupFuture unused = connections.close();
   }
 }
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/ArchitectureTest.java
@@ -0,0 +1,72 @@
+package org.clementinepost.node;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.methods;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaModifier;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Holds the node to its shape: tasks that own sockets and state, and talk by messages. */
+@AnalyzeClasses(
+    packages = "org.clementinepost.node",
+    importOptions = ImportOption.DoNotIncludeTests.class)
+final class ArchitectureTest {
+  @ArchTest
+  final ArchRule socketsBelongToTheTasksThatOwnThem =
+      noClasses()
+          .that()
+          .resideOutsideOfPackages(
+              "..edge..", "..exchange..", "..peer..", "..announce..", "..operator..")
+          .and()
+          .doNotHaveSimpleName("NodeMain")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("reactor.netty..");
+
+  @ArchTest
+  final ArchRule theEncodingOfMessagesIsKnownToConnectionsAlone =
+      noClasses()
+          .that()
+          .resideOutsideOfPackage("..peer..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("org.clementinepost.wire..", "org.msgpack..");
+
+  @ArchTest
+  final ArchRule nothingLocks =
+      noClasses().should().dependOnClassesThat().resideInAPackage("java.util.concurrent.locks..");
+
+  @ArchTest
+  final ArchRule nothingIsSynchronized =
+      methods().should().notHaveModifier(JavaModifier.SYNCHRONIZED);
+
+  @ArchTest
+  final ArchRule nothingSleeps = noClasses().should().callMethod(Thread.class, "sleep", long.class);
+
+  @ArchTest
+  final ArchRule noProcessStartsAnother =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.lang.ProcessBuilder")
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.lang.Runtime.exec");
+
+  @ArchTest
+  final ArchRule theEdgeIsTheOnlyOneThatSeesTheKey =
+      noClasses()
+          .that()
+          .resideOutsideOfPackage("..edge..")
+          .should()
+          .dependOnClassesThat()
+          .haveSimpleName("KeyHash");
+
+  @ArchTest
+  final ArchRule messagesAreSealedInterfaces =
+      classes().that().haveSimpleNameEndingWith("Message").should().beInterfaces();
+}
