Bound what one moment proves, and let the host push its verdict

Cause: a 200 ms pause counted as many pieces of evidence; quiet ingress nodes heard of the host's verdict with their next answer only, when it had lapsed; silence was no evidence at all.

--- a/api/src/main/java/org/clementinepost/api/HostReport.java
+++ b/api/src/main/java/org/clementinepost/api/HostReport.java
@@ -12,7 +12,9 @@
   /** Too many of its answers fail. */
   FAILING(1),
   /** It is far slower than its service. */
-  SLOW(2);
+  SLOW(2),
+  /** It has answered nothing for a while. */
+  SILENT(3);
 
   private final int number;
 
--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeAnswer.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeAnswer.java
@@ -1,6 +1,7 @@
 package org.clementinepost.benchmarks.measures;
 
 import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.HostReport;
 import org.clementinepost.api.ResultCode;
@@ -14,6 +15,14 @@
     return new FakeAnswer(Option.some(Failure.of(code)), 0, 0, HostReport.HEALTHY);
   }
 
+  static FakeAnswer timedOut(long nanos) {
+    return new FakeAnswer(
+        Option.some(Failure.of(ResultCode.BACKEND_TIMED_OUT)),
+        0,
+        TimeUnit.NANOSECONDS.toMicros(nanos),
+        HostReport.HEALTHY);
+  }
+
   static FakeAnswer answered(int status, long serverMicros) {
     return new FakeAnswer(Option.none(), status, serverMicros, HostReport.HEALTHY);
   }
--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeNetwork.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeNetwork.java
@@ -3,10 +3,13 @@
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.kernel.Reply;
+import org.clementinepost.policy.routing.RoutingEffect;
 
-/** Carries a request from an ingress node to a host, and the answer back. */
-@FunctionalInterface
+/** Carries requests, answers and hosts' verdicts between nodes. */
 interface FakeNetwork {
   /** Sends a request; the reply may never come. */
   void send(FakeNode ingress, Endpoint endpoint, RequestHead head, Reply<FakeAnswer> reply);
+
+  /** Sends a host's verdict to ingress nodes. */
+  void tell(FakeNode host, RoutingEffect.Tell tell);
 }
--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeNode.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeNode.java
@@ -3,12 +3,12 @@
 import io.vavr.collection.HashSet;
 import io.vavr.collection.Set;
 import io.vavr.control.Either;
-import io.vavr.control.Option;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.kernel.Reply;
@@ -68,6 +68,9 @@
       if (effect instanceof RoutingEffect.Placed placed) {
         placed.reply().send(placed.answer());
       }
+      if (effect instanceof RoutingEffect.Tell tell) {
+        network.tell(this, tell);
+      }
       if (effect instanceof RoutingEffect.Reported reported) {
         reported.reply().send(reported.report());
       }
@@ -159,15 +162,19 @@
         TimeUnit.NANOSECONDS.toMicros(totalNanos));
   }
 
+  /** As host: a request has come. */
+  void serving(BackendServerId server, RequestHead head, FakeNode ingress) {
+    decide(
+        new RoutingEvent.Serving(
+            server, head.service(), new NodeId(String.valueOf(ingress.index)), loop.nowNanos()));
+  }
+
   /** As host: the answer of this node's backend server goes out with the host's report. */
-  void served(
-      BackendServerId server, RequestHead head, FakeAnswer answer, Reply<FakeAnswer> reply) {
-    Option<Failure> failure = answer.failure();
+  void served(BackendServerId server, FakeAnswer answer, Reply<FakeAnswer> reply) {
     decide(
         new RoutingEvent.Served(
             server,
-            head.service(),
-            failure,
+            answer.failure(),
             answer.status(),
             answer.serverMicros(),
             loop.nowNanos(),
--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeServer.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeServer.java
@@ -72,7 +72,7 @@
     if (hangs || doneNanos > request.deadlineNanos()) {
       loop.after(
           request.deadlineNanos() - startNanos,
-          () -> end(request, FakeAnswer.failed(ResultCode.BACKEND_TIMED_OUT)));
+          () -> end(request, FakeAnswer.timedOut(loop.nowNanos() - startNanos)));
       return;
     }
     int status = fails ? FakeAnswer.ERROR_STATUS : FakeAnswer.OK_STATUS;
--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/Fleet.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/Fleet.java
@@ -14,10 +14,11 @@
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.kernel.Reply;
+import org.clementinepost.policy.routing.RoutingEffect;
 import org.clementinepost.policy.routing.RoutingEvent;
 
 /** All nodes of a deployment, the backend servers of one service, and its callers. */
-final class Fleet {
+final class Fleet implements FakeNetwork {
   private static final long SAME_DOMAIN_MICROS = 250;
   private static final long TIMEOUT_MILLIS = 2_000;
   private static final long LINK_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -65,7 +66,7 @@
                         loop,
                         new Random(random.nextLong()),
                         kind.factory().apply(deployment.domainOf(index)),
-                        this::send,
+                        this,
                         tally));
     this.template = template();
     announce(endpoints);
@@ -210,24 +211,47 @@
     return (first + random.nextInt(NODES_OF_SMALL_CUSTOMER)) % nodes.size();
   }
 
-  private void send(
-      FakeNode ingress, Endpoint endpoint, RequestHead head, Reply<FakeAnswer> reply) {
-    FakeNode host = nodes.get(Integer.parseInt(endpoint.host().value()));
+  private FakeNode node(NodeId id) {
+    return nodes.get(Integer.parseInt(id.value()));
+  }
+
+  @Override
+  public void send(FakeNode ingress, Endpoint endpoint, RequestHead head, Reply<FakeAnswer> reply) {
+    FakeNode host = node(endpoint.host());
     long oneWayNanos = oneWayNanos(ingress.index(), host.index());
-    loop.after(
-        oneWayNanos,
-        () ->
-            servers
-                .get(endpoint.server())
-                .get()
-                .serve(
-                    head,
-                    answer ->
-                        host.served(
-                            endpoint.server(),
-                            head,
-                            answer,
-                            reported -> back(ingress, endpoint, oneWayNanos, reported, reply))));
+    Reply<FakeAnswer> back = answer -> back(ingress, endpoint, oneWayNanos, answer, reply);
+    loop.after(oneWayNanos, () -> serve(ingress, host, endpoint, head, back));
+  }
+
+  private void serve(
+      FakeNode ingress,
+      FakeNode host,
+      Endpoint endpoint,
+      RequestHead head,
+      Reply<FakeAnswer> back) {
+    host.serving(endpoint.server(), head, ingress);
+    servers
+        .get(endpoint.server())
+        .get()
+        .serve(head, answer -> host.served(endpoint.server(), answer, back));
+  }
+
+  @Override
+  public void tell(FakeNode host, RoutingEffect.Tell tell) {
+    for (NodeId id : tell.nodes()) {
+      FakeNode ingress = node(id);
+      boolean lost = cutFrom.exists(cut -> node(cut.host()) == host && isCut(ingress, cut));
+      if (!lost) {
+        loop.after(oneWayNanos(host.index(), ingress.index()), () -> told(ingress, host, tell));
+      }
+    }
+  }
+
+  private void told(FakeNode ingress, FakeNode host, RoutingEffect.Tell tell) {
+    NodeId from = new NodeId(String.valueOf(host.index()));
+    ingress.decide(
+        new RoutingEvent.HostReported(
+            tell.server(), tell.service(), from, tell.report(), loop.nowNanos()));
   }
 
   private void back(
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -4,6 +4,7 @@
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.peer.DirectoryPeerMessage;
+import org.clementinepost.api.peer.HostReportMessage;
 import org.clementinepost.api.peer.PeerMessage;
 import org.clementinepost.kernel.Kernel;
 import org.clementinepost.kernel.Registry;
@@ -22,6 +23,7 @@
 import org.clementinepost.node.peer.ControlReceiver;
 import org.clementinepost.node.peer.PeerListener;
 import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.routing.RoutingMessage;
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.node.settings.NodeSettings;
 import org.clementinepost.platform.PlatformService;
@@ -61,7 +63,7 @@
             .service(platform)
             .service(ConfigurationService.definition())
             .service(MembershipService.definition(self))
-            .service(RoutingService.definition(self.domain()))
+            .service(RoutingService.definition(self))
             .service(DirectoryService.definition(self))
             .service(HostService.definition(self))
             .service(ExchangeService.definition(settings.connectionsPerServer()))
@@ -81,6 +83,9 @@
     if (message instanceof DirectoryPeerMessage directory) {
       registry.find(DirectoryService.NAME).send(new DirectoryMessage.FromPeer(from, directory));
     }
+    if (message instanceof HostReportMessage report) {
+      registry.find(RoutingService.NAME).send(new RoutingMessage.HostReported(from, report));
+    }
   }
 
   /** This node as the others know it. */
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -168,8 +168,8 @@
     if (endpoint.host().equals(self)) {
       return HostReports.add(
           routing,
-          endpoint.server(),
-          endpoint.service(),
+          clock,
+          new RoutingMessage.Serving(endpoint.server(), endpoint.service(), self),
           Exchanges.ask(
               exchanges,
               (cancelled, reply) ->
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -28,6 +28,7 @@
  */
 final class PeerConnection implements Behaviour<ConnectionMessage> {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final NodeId UNKNOWN_PEER = new NodeId("");
   private static final long PING_MILLIS = 500;
   private static final long SILENCE_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
@@ -62,7 +63,9 @@
                 context.self(),
                 this::write,
                 context.registry().find(ExchangeService.NAME),
-                context.registry().find(RoutingService.NAME));
+                context.registry().find(RoutingService.NAME),
+                context.clock(),
+                () -> peer.getOrElse(UNKNOWN_PEER));
     this.lastHeardNanos = context.clock().nowNanos();
     this.timerName = "peer-connection-" + System.identityHashCode(this);
     write(new LinkMessage.Hello(self.node(), self.incarnation()));
--- a/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
@@ -5,12 +5,15 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.peer.PeerMessage;
 import org.clementinepost.api.peer.StreamMessage;
 import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.node.exchange.Answer;
 import org.clementinepost.node.exchange.ExchangeMessage;
 import org.clementinepost.node.exchange.Exchanges;
@@ -29,6 +32,8 @@
   private final Consumer<PeerMessage> wire;
   private final Address<ExchangeMessage> exchanges;
   private final Address<RoutingMessage> routing;
+  private final MonotonicClock clock;
+  private final Supplier<NodeId> peer;
   private Map<Long, Served> streams = HashMap.empty();
   private long lastStreamId;
 
@@ -36,11 +41,15 @@
       Address<ConnectionMessage> self,
       Consumer<PeerMessage> wire,
       Address<ExchangeMessage> exchanges,
-      Address<RoutingMessage> routing) {
+      Address<RoutingMessage> routing,
+      MonotonicClock clock,
+      Supplier<NodeId> peer) {
     this.self = self;
     this.wire = wire;
     this.exchanges = exchanges;
     this.routing = routing;
+    this.clock = clock;
+    this.peer = peer;
   }
 
   @Override
@@ -68,8 +77,8 @@
     Disposable exchange =
         HostReports.add(
                 routing,
-                open.server(),
-                head.service(),
+                clock,
+                new RoutingMessage.Serving(open.server(), head.service(), peer.get()),
                 Exchanges.ask(
                     exchanges,
                     (cancelled, reply) ->
--- a/node/src/main/java/org/clementinepost/node/routing/HostReports.java
+++ b/node/src/main/java/org/clementinepost/node/routing/HostReports.java
@@ -2,11 +2,13 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.HostReport;
-import org.clementinepost.api.ServiceId;
 import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.node.exchange.Answer;
 import reactor.core.publisher.Mono;
@@ -19,45 +21,67 @@
    * Watches an exchange with a backend server of this host.
    *
    * @param routing the routing service of this node
-   * @param server the backend server
-   * @param service the service of the request
+   * @param clock the clock that times an exchange without an answer
+   * @param serving the request
    * @param exchange the exchange
    */
   public static Mono<Either<Failure, Answer>> add(
       Address<RoutingMessage> routing,
-      BackendServerId server,
-      ServiceId service,
+      MonotonicClock clock,
+      RoutingMessage.Serving serving,
       Mono<Either<Failure, Answer>> exchange) {
-    return exchange.flatMap(result -> add(routing, server, service, result));
+    return Mono.defer(
+        () -> {
+          routing.send(serving);
+          AtomicBoolean ended = new AtomicBoolean();
+          long startNanos = clock.nowNanos();
+          return exchange
+              .doOnNext(result -> ended.set(true))
+              .doOnCancel(
+                  () -> {
+                    if (!ended.get()) {
+                      routing.send(ended(serving.server(), Option.none(), 0));
+                    }
+                  })
+              .flatMap(
+                  result ->
+                      add(
+                          routing,
+                          serving.server(),
+                          TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - startNanos),
+                          result));
+        });
   }
 
   private static Mono<Either<Failure, Answer>> add(
       Address<RoutingMessage> routing,
       BackendServerId server,
-      ServiceId service,
+      long elapsedMicros,
       Either<Failure, Answer> result) {
     if (result.isLeft()) {
-      routing.send(
-          new RoutingMessage.Served(
-              server, service, Option.some(result.getLeft()), 0, 0, Reply.ignored()));
+      routing.send(ended(server, Option.some(result.getLeft()), elapsedMicros));
       return Mono.just(result);
     }
     Answer answer = result.get();
-    return report(routing, server, service, answer)
+    return report(routing, server, answer)
         .map(report -> new Answer(answer.head().withReport(report), answer.body()))
         .map(reported -> Either.<Failure, Answer>right(reported))
         .doOnCancel(answer::discard);
   }
 
+  private static RoutingMessage.Served ended(
+      BackendServerId server, Option<Failure> failure, long elapsedMicros) {
+    return new RoutingMessage.Served(server, failure, 0, elapsedMicros, Reply.ignored());
+  }
+
   /** A routing service that cannot keep up holds no answer back. */
   private static Mono<HostReport> report(
-      Address<RoutingMessage> routing, BackendServerId server, ServiceId service, Answer answer) {
+      Address<RoutingMessage> routing, BackendServerId server, Answer answer) {
     return Mono.create(
         sink -> {
           RoutingMessage.Served served =
               new RoutingMessage.Served(
                   server,
-                  service,
                   Option.none(),
                   answer.head().status(),
                   answer.head().serverMicros(),
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingMessage.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingMessage.java
@@ -8,10 +8,12 @@
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.HostReport;
+import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResponseHead;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.api.peer.HostReportMessage;
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.policy.routing.Placement;
 
@@ -33,10 +35,24 @@
   record Ended(Endpoint endpoint, Option<Failure> failure, ResponseHead head, long totalMicros)
       implements RoutingMessage {}
 
-  /** Tells a host how its own backend server did on a request, and asks for what it knows of it. */
+  /** Tells a host that a request for its own backend server has come from an ingress node. */
+  record Serving(BackendServerId server, ServiceId service, NodeId ingress)
+      implements RoutingMessage {}
+
+  /** A host has come to a verdict on its backend server. */
+  record HostReported(NodeId host, HostReportMessage message) implements RoutingMessage {}
+
+  /**
+   * Tells a host how its own backend server did on a request, and asks for what it knows of it.
+   *
+   * @param server the backend server
+   * @param failure why no answer came; none when one came or nobody waits for it any more
+   * @param status the HTTP status of the answer, zero without one
+   * @param serverMicros the time that the backend server took
+   * @param reply takes the host's report
+   */
   record Served(
       BackendServerId server,
-      ServiceId service,
       Option<Failure> failure,
       int status,
       long serverMicros,
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
@@ -1,15 +1,18 @@
 package org.clementinepost.node.routing;
 
 import com.google.common.flogger.FluentLogger;
-import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.peer.HostReportMessage;
+import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Behaviour;
-import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.configuration.ConfigurationMessage;
 import org.clementinepost.node.configuration.ConfigurationService;
+import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.peer.PeerServiceMessage;
 import org.clementinepost.policy.routing.RoutingEffect;
 import org.clementinepost.policy.routing.RoutingEvent;
 import org.clementinepost.policy.routing.RoutingPolicy;
@@ -26,14 +29,13 @@
 
   private RoutingService() {}
 
-  /** Defines the service on a node of a failure domain. */
-  public static ServiceDefinition<RoutingMessage> definition(FailureDomainId domain) {
+  /** Defines the service on a node. */
+  public static ServiceDefinition<RoutingMessage> definition(Member self) {
     return new ServiceDefinition<>(
-        NAME, ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES, context -> start(context, domain));
+        NAME, ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES, context -> start(context, self));
   }
 
-  private static Behaviour<RoutingMessage> start(
-      TaskContext<RoutingMessage> context, FailureDomainId domain) {
+  private static Behaviour<RoutingMessage> start(TaskContext<RoutingMessage> context, Member self) {
     context
         .registry()
         .find(TimerService.NAME)
@@ -52,8 +54,8 @@
     return Behaviour.deciding(
         RoutingState.empty(),
         message -> event(message, context),
-        RoutingPolicy.builder().domain(domain).build(),
-        effect -> handle(effect, context.clock()));
+        RoutingPolicy.builder().domain(self.domain()).build(),
+        effect -> handle(effect, self, context));
   }
 
   private static RoutingEvent event(RoutingMessage message, TaskContext<RoutingMessage> context) {
@@ -75,13 +77,21 @@
     if (message instanceof RoutingMessage.Served served) {
       return new RoutingEvent.Served(
           served.server(),
-          served.service(),
           served.failure(),
           served.status(),
           served.serverMicros(),
           nowNanos,
           served.reply());
     }
+    if (message instanceof RoutingMessage.Serving serving) {
+      return new RoutingEvent.Serving(
+          serving.server(), serving.service(), serving.ingress(), nowNanos);
+    }
+    if (message instanceof RoutingMessage.HostReported reported) {
+      HostReportMessage report = reported.message();
+      return new RoutingEvent.HostReported(
+          report.server(), report.service(), reported.host(), report.report(), nowNanos);
+    }
     if (message instanceof RoutingMessage.EndpointsChanged changed) {
       return new RoutingEvent.EndpointsChanged(changed.service(), changed.endpoints(), nowNanos);
     }
@@ -91,7 +101,8 @@
     return new RoutingEvent.Tick(nowNanos);
   }
 
-  private static void handle(RoutingEffect effect, MonotonicClock clock) {
+  private static void handle(
+      RoutingEffect effect, Member self, TaskContext<RoutingMessage> context) {
     if (effect instanceof RoutingEffect.Placed placed) {
       log(placed);
       placed.reply().send(placed.answer());
@@ -101,6 +112,10 @@
       reported.reply().send(reported.report());
       return;
     }
+    if (effect instanceof RoutingEffect.Tell tell) {
+      tell(tell, self, context);
+      return;
+    }
     if (effect instanceof RoutingEffect.Ejected ejected) {
       logger.atWarning().log(
           "event=ejection service=%s server=%s host=%s reason=%s strikes=%d backoffMillis=%d",
@@ -109,7 +124,7 @@
           ejected.endpoint().host(),
           ejected.reason().label(),
           ejected.strikes(),
-          (ejected.untilNanos() - clock.nowNanos()) / 1_000_000);
+          (ejected.untilNanos() - context.clock().nowNanos()) / 1_000_000);
       return;
     }
     RoutingEffect.Readmitted readmitted = (RoutingEffect.Readmitted) effect;
@@ -118,6 +133,21 @@
         readmitted.endpoint().service(), readmitted.endpoint().server());
   }
 
+  private static void tell(
+      RoutingEffect.Tell tell, Member self, TaskContext<RoutingMessage> context) {
+    logger.atWarning().log(
+        "event=host-verdict service=%s server=%s report=%s nodes=%d",
+        tell.service(), tell.server(), tell.report(), tell.nodes().size());
+    HostReportMessage report = new HostReportMessage(tell.server(), tell.service(), tell.report());
+    if (tell.nodes().contains(self.node())) {
+      context.self().send(new RoutingMessage.HostReported(self.node(), report));
+    }
+    Address<PeerServiceMessage> peers = context.registry().find(PeerService.NAME);
+    tell.nodes()
+        .remove(self.node())
+        .forEach(node -> peers.send(new PeerServiceMessage.Send(node, report)));
+  }
+
   private static void log(RoutingEffect.Placed placed) {
     logger.atInfo().log(
         "event=placement request=%s attempt=%d service=%s server=%s reason=%s",
--- a/policy/src/main/java/org/clementinepost/policy/routing/EjectionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/EjectionPolicy.java
@@ -15,15 +15,17 @@
 
   /** What the evidence convicts a backend server of. */
   static Option<EjectionReason> verdict(EndpointState state, Evidence path, long nowNanos) {
-    if (path.convicts(nowNanos)) {
+    if (path.convicts()) {
       return Option.some(EjectionReason.PATH);
     }
-    Evidence own = state.evidence();
-    if (!own.convicts(nowNanos)) {
+    if (state.silent(nowNanos)) {
+      return Option.some(EjectionReason.SILENT);
+    }
+    if (!state.evidence().convicts()) {
       return Option.none();
     }
     return Option.some(
-        own.failureScore() >= own.slowScore() ? EjectionReason.FAILING : EjectionReason.SLOW);
+        state.evidence().mostlyFailing() ? EjectionReason.FAILING : EjectionReason.SLOW);
   }
 
   static boolean mayEject(ServiceState service, EndpointState state) {
--- a/policy/src/main/java/org/clementinepost/policy/routing/EjectionReason.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/EjectionReason.java
@@ -6,8 +6,10 @@
 public enum EjectionReason {
   /** The backend server's answers fail. */
   FAILING,
-  /** The backend server answers far slower than its peers, or not at all. */
+  /** The backend server answers far slower than its peers. */
   SLOW,
+  /** Nothing is heard; from here the server cannot be told from the path. */
+  SILENT,
   /** The host cannot be reached, or answers come late although the backend server is quick. */
   PATH;
 
--- a/policy/src/main/java/org/clementinepost/policy/routing/EvidencePolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/EvidencePolicy.java
@@ -25,7 +25,7 @@
     ServiceState service = withHold(known.get(), ended);
     long placedNanos = ended.nowNanos() - TimeUnit.MICROSECONDS.toNanos(ended.totalMicros());
     boolean overdue = server.get().outstanding().isOverdue(placedNanos);
-    EndpointState freed = server.get().with(server.get().outstanding().ended(placedNanos));
+    EndpointState freed = freed(server.get(), ended, placedNanos);
     Option<Outcome> outcome = OutcomePolicy.ofServer(ended, service.reference());
     Option<Outcome> path = OutcomePolicy.ofPath(ended, service.reference());
     RoutingState next =
@@ -45,6 +45,12 @@
     return judged(next.with(id, counted), id, seen, ended.nowNanos());
   }
 
+  private static EndpointState freed(
+      EndpointState server, RoutingEvent.Ended ended, long placedNanos) {
+    EndpointState freed = server.with(server.outstanding().ended(placedNanos));
+    return ended.status() == 0 ? freed : freed.heard(ended.nowNanos());
+  }
+
   private static ServiceState withHold(ServiceState service, RoutingEvent.Ended ended) {
     if (ended.failure().isEmpty()) {
       return service;
@@ -84,16 +90,14 @@
       return triedOn(server, ejected, outcome, overdue, ended);
     }
     if (ended.report() != HostReport.HEALTHY) {
-      return server.with(Evidence.reported(ended.report(), ended.nowNanos()));
+      return server.with(Evidence.reported(ended.report()));
     }
     if (!overdue) {
       return server.with(server.evidence().with(outcome, service.reference(), ended.nowNanos()));
     }
     // It has counted as slow when it became overdue, whoever was to blame.
     Evidence corrected =
-        outcome.slow()
-            ? server.evidence()
-            : server.evidence().withoutSlow(service.reference(), ended.nowNanos());
+        outcome.slow() ? server.evidence() : server.evidence().withoutSlow(service.reference());
     Outcome rest = new Outcome(outcome.failing(), false);
     return server.with(corrected.with(rest, service.reference(), ended.nowNanos()));
   }
@@ -201,15 +205,18 @@
     return server.with(server.evidence().with(Outcome.SLOW, reference, nowNanos));
   }
 
-  static Step<RoutingState, RoutingEffect> served(RoutingState state, RoutingEvent.Served served) {
-    HostedEvidence before = state.hosted().getOrElse(served.server(), HostedEvidence.NONE);
-    Reference reference = state.service(served.service()).reference();
-    HostedEvidence after =
-        OutcomePolicy.ofServed(served, reference)
-            .map(outcome -> before.with(outcome, reference, served.nowNanos()))
-            .getOrElse(before);
-    return Step.to(
-        state.withHosted(state.hosted().put(served.server(), after)),
-        new RoutingEffect.Reported(after.report(served.nowNanos()), served.reply()));
+  /** Takes a host's verdict for evidence of this node's own. */
+  static Step<RoutingState, RoutingEffect> reported(
+      RoutingState state, RoutingEvent.HostReported reported) {
+    Option<EndpointState> server =
+        state.services().get(reported.service()).flatMap(s -> s.server(reported.server()));
+    boolean known = server.exists(s -> s.inUse() && s.endpoint().host().equals(reported.host()));
+    if (!known || reported.report() == HostReport.HEALTHY) {
+      return Step.to(state);
+    }
+    EndpointState next = server.get().with(Evidence.reported(reported.report()));
+    ServiceState service = state.service(reported.service()).with(next);
+    return judged(
+        state.with(reported.service(), service), reported.service(), next, reported.nowNanos());
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/Reference.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/Reference.java
@@ -27,7 +27,7 @@
   /** Counts answers until the window ends. */
   record Window(long endNanos, int answers, int failing, int slow) {}
 
-  private static final int ENOUGH_ANSWERS = 50;
+  private static final int ENOUGH_ANSWERS = 20;
   private static final int WINDOW_MIN_ANSWERS = 200;
   private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
   private static final double SLOW_RATIO = 4;
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingEffect.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingEffect.java
@@ -1,10 +1,14 @@
 package org.clementinepost.policy.routing;
 
+import io.vavr.collection.Set;
 import io.vavr.control.Either;
+import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.HostReport;
+import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.ServiceId;
 import org.clementinepost.kernel.Reply;
 
 /** What the routing decision asks for. */
@@ -31,6 +35,10 @@
   /** Tells that a backend server gets requests again. */
   record Readmitted(Endpoint endpoint) implements RoutingEffect {}
 
+  /** Tells ingress nodes of a host's new verdict on its backend server. */
+  record Tell(Set<NodeId> nodes, BackendServerId server, ServiceId service, HostReport report)
+      implements RoutingEffect {}
+
   /** Answers with what the host knows of its backend server. */
   record Reported(HostReport report, Reply<HostReport> reply) implements RoutingEffect {}
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingEvent.java
@@ -9,6 +9,7 @@
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.HostReport;
+import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.api.config.Service;
@@ -61,11 +62,19 @@
       long nowNanos)
       implements RoutingEvent {}
 
+  /** Tells a host that a request for its own backend server has come from an ingress node. */
+  record Serving(BackendServerId server, ServiceId service, NodeId ingress, long nowNanos)
+      implements RoutingEvent {}
+
+  /** A host has come to a verdict on its backend server. */
+  record HostReported(
+      BackendServerId server, ServiceId service, NodeId host, HostReport report, long nowNanos)
+      implements RoutingEvent {}
+
   /**
    * Tells a host how its own backend server did on a request, whichever ingress node it came from.
    *
    * @param server the backend server
-   * @param service the service of the request
    * @param failure why no answer came; none when one came
    * @param status the HTTP status of the answer, zero without one
    * @param serverMicros the time that the backend server took
@@ -74,7 +83,6 @@
    */
   record Served(
       BackendServerId server,
-      ServiceId service,
       Option<Failure> failure,
       int status,
       long serverMicros,
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
@@ -49,7 +49,13 @@
       return EvidencePolicy.ended(state, ended);
     }
     if (event instanceof RoutingEvent.Served served) {
-      return EvidencePolicy.served(state, served);
+      return HostingPolicy.served(state, served);
+    }
+    if (event instanceof RoutingEvent.Serving serving) {
+      return Step.to(HostingPolicy.serving(state, serving));
+    }
+    if (event instanceof RoutingEvent.HostReported reported) {
+      return EvidencePolicy.reported(state, reported);
     }
     if (event instanceof RoutingEvent.EndpointsChanged changed) {
       return Step.to(changed(state, changed));
@@ -57,7 +63,14 @@
     if (event instanceof RoutingEvent.Configured configured) {
       return Step.to(configured(state, configured));
     }
-    return EvidencePolicy.ticked(state, ((RoutingEvent.Tick) event).nowNanos());
+    return ticked(state, (RoutingEvent.Tick) event);
+  }
+
+  private static Step<RoutingState, RoutingEffect> ticked(
+      RoutingState state, RoutingEvent.Tick tick) {
+    Step<RoutingState, RoutingEffect> ingress = EvidencePolicy.ticked(state, tick.nowNanos());
+    Step<RoutingState, RoutingEffect> host = HostingPolicy.ticked(ingress.state(), tick.nowNanos());
+    return Step.to(host.state(), ingress.effects().appendAll(host.effects()));
   }
 
   private static RoutingState changed(RoutingState state, RoutingEvent.EndpointsChanged changed) {
