Spread membership over a ring of kept links

A poll of the whole table costs each node a read of every registration, and stops with the platform (cause). Nodes are now sorted on a hash ring; each keeps links to three successors and five fingers, hears its successors by heartbeats, asks other monitors before it calls one dead, and passes news on over its links. The table serves for meeting alone: a sample of sixteen registrations.

Weighed and left out: random probing, which over TCP opens a connection for each probe; a poll of the full table (3,700 items a poll and node).

Connections that carry nothing and are not kept no longer ping.

--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -4,6 +4,7 @@
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.peer.DirectoryPeerMessage;
+import org.clementinepost.api.peer.MembershipPeerMessage;
 import org.clementinepost.api.peer.PeerMessage;
 import org.clementinepost.kernel.Kernel;
 import org.clementinepost.kernel.Registry;
@@ -18,6 +19,7 @@
 import org.clementinepost.node.edge.EdgeService;
 import org.clementinepost.node.exchange.ExchangeService;
 import org.clementinepost.node.host.HostService;
+import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
 import org.clementinepost.node.peer.ControlReceiver;
 import org.clementinepost.node.peer.PeerListener;
@@ -32,6 +34,9 @@
 
 /** One running node: its services, in the order in which they start. */
 public final class Node implements Disposable {
+  private static final Duration LEAVE_PAUSE = Duration.ofMillis(200);
+  private static final Duration LEAVE_LIMIT = Duration.ofSeconds(2);
+
   private final Scheduler scheduler;
   private final Kernel kernel;
   private final Member self;
@@ -78,11 +83,26 @@
   }
 
   private static void dispatch(Registry registry, NodeId from, PeerMessage message) {
+    if (message instanceof MembershipPeerMessage membership) {
+      registry.find(MembershipService.NAME).send(new MembershipMessage.FromPeer(from, membership));
+    }
     if (message instanceof DirectoryPeerMessage directory) {
       registry.find(DirectoryService.NAME).send(new DirectoryMessage.FromPeer(from, directory));
     }
   }
 
+  /** Tells the others that this node stops, and gives the message time to go out. */
+  private Mono<Boolean> leave() {
+    return Mono.<Boolean>create(
+            sink ->
+                kernel
+                    .find(MembershipService.NAME)
+                    .send(new MembershipMessage.Leave(sink::success)))
+        .delayElement(LEAVE_PAUSE)
+        .timeout(LEAVE_LIMIT, Mono.just(false))
+        .onErrorReturn(false);
+  }
+
   /** This node as the others know it. */
   public Member self() {
     return self;
@@ -103,6 +123,7 @@
 
   @Override
   public void dispose() {
+    leave().block();
     kernel.dispose();
     scheduler.disposeGracefully().block(Duration.ofSeconds(5));
   }
--- a/node/src/main/java/org/clementinepost/node/membership/MembershipMessage.java
+++ b/node/src/main/java/org/clementinepost/node/membership/MembershipMessage.java
@@ -1,9 +1,9 @@
 package org.clementinepost.node.membership;
 
 import io.vavr.collection.Vector;
-import io.vavr.control.Either;
-import org.clementinepost.api.Failure;
 import org.clementinepost.api.Member;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.peer.MembershipPeerMessage;
 import org.clementinepost.kernel.Reply;
 
 /** What the membership service is told. */
@@ -11,9 +11,27 @@
   /** Asks for every view of the other nodes, the present one first. */
   record Subscribe(Reply<Vector<Member>> listener) implements MembershipMessage {}
 
-  /** It is time to register and to ask who else has. */
-  record Poll() implements MembershipMessage {}
+  /** Time has passed. */
+  record Tick() implements MembershipMessage {}
 
-  /** The table has given the registered nodes, or has not. */
-  record Loaded(Either<Failure, Vector<Member>> members) implements MembershipMessage {}
+  /** Another node has sent a message. */
+  record FromPeer(NodeId from, MembershipPeerMessage message) implements MembershipMessage {}
+
+  /** The kept link to a node is up. */
+  record LinkUp(NodeId node) implements MembershipMessage {}
+
+  /** The kept link to a node is down, or cannot be made. */
+  record LinkDown(NodeId node) implements MembershipMessage {}
+
+  /** A probe for another node has ended. */
+  record Probed(NodeId asker, Member target, boolean alive) implements MembershipMessage {}
+
+  /** The table has taken the registration, or has not. */
+  record Registered(boolean done) implements MembershipMessage {}
+
+  /** The table has given some registered nodes; none when it could not be asked. */
+  record Sampled(Vector<Member> registered) implements MembershipMessage {}
+
+  /** This node is about to stop: the others are told, and then the reply is sent. */
+  record Leave(Reply<Boolean> told) implements MembershipMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
+++ b/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
@@ -2,38 +2,53 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.collection.Vector;
-import io.vavr.control.Either;
-import org.clementinepost.api.Failure;
+import java.time.Duration;
 import org.clementinepost.api.Member;
+import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Behaviour;
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
-import org.clementinepost.platform.Platform;
+import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.peer.PeerServiceMessage;
 import org.clementinepost.platform.PlatformService;
+import org.clementinepost.policy.membership.MembershipEffect;
+import org.clementinepost.policy.membership.MembershipEvent;
+import org.clementinepost.policy.membership.MembershipPolicy;
+import org.clementinepost.policy.membership.MembershipState;
+import reactor.core.publisher.Mono;
 
-/** Registers the node in the table and learns there of the others. */
+/** Runs the membership decision on links, the other nodes' messages and the table. */
 public final class MembershipService implements Behaviour<MembershipMessage> {
   /** The name by which the service is found. */
   public static final ServiceName<MembershipMessage> NAME =
       ServiceName.of("membership", MembershipMessage.class);
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long POLL_MILLIS = 1_000;
+  private static final long TICK_MILLIS = 200;
+  private static final Duration PROBE_LIMIT = Duration.ofMillis(500);
+  private static final Duration PLATFORM_LIMIT = Duration.ofSeconds(5);
 
   private final TaskContext<MembershipMessage> context;
-  private final Member self;
-  private final MemberTable table;
+  private final Registrations registrations;
+  private final Address<PeerServiceMessage> peers;
+  private final Behaviour<MembershipEvent> decision;
   private Vector<Member> others = Vector.empty();
   private Vector<Reply<Vector<Member>>> listeners = Vector.empty();
 
   private MembershipService(
-      TaskContext<MembershipMessage> context, Member self, Platform platform) {
+      TaskContext<MembershipMessage> context, Member self, Registrations registrations) {
     this.context = context;
-    this.self = self;
-    this.table = new MemberTable(platform.table());
+    this.registrations = registrations;
+    this.peers = context.registry().find(PeerService.NAME);
+    this.decision =
+        Behaviour.deciding(
+            MembershipState.of(self, context.clock().nowMillis()),
+            event -> event,
+            new MembershipPolicy(),
+            this::handle);
     context
         .registry()
         .find(TimerService.NAME)
@@ -41,8 +56,8 @@
             new TimerService.Every(
                 NAME.text(),
                 0,
-                POLL_MILLIS,
-                () -> context.self().send(new MembershipMessage.Poll())));
+                TICK_MILLIS,
+                () -> context.self().send(new MembershipMessage.Tick())));
   }
 
   /** Defines the service on a node. */
@@ -51,7 +66,12 @@
         NAME,
         ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
         context ->
-            new MembershipService(context, self, PlatformService.platformOf(context.registry())));
+            new MembershipService(
+                context,
+                self,
+                new Registrations(
+                    PlatformService.platformOf(context.registry()).table(),
+                    System::currentTimeMillis)));
   }
 
   @Override
@@ -61,26 +81,100 @@
       subscribe.listener().send(others);
       return;
     }
-    if (message instanceof MembershipMessage.Poll) {
-      table
-          .registerAndList(self)
-          .subscribe(members -> context.self().send(new MembershipMessage.Loaded(members)));
-      return;
+    decision.receive(event(message));
+    if (message instanceof MembershipMessage.Leave leave) {
+      leave.told().send(true);
     }
-    loaded(((MembershipMessage.Loaded) message).members());
   }
 
-  private void loaded(Either<Failure, Vector<Member>> members) {
-    if (members.isLeft()) {
-      logger.atWarning().log("event=membership-poll result=%s", members.getLeft());
+  private MembershipEvent event(MembershipMessage message) {
+    long nowMillis = context.clock().nowMillis();
+    long random = context.random().nextLong();
+    if (message instanceof MembershipMessage.FromPeer fromPeer) {
+      return new MembershipEvent.Received(fromPeer.from(), fromPeer.message(), nowMillis);
+    }
+    if (message instanceof MembershipMessage.LinkUp up) {
+      return new MembershipEvent.LinkUp(up.node(), nowMillis);
+    }
+    if (message instanceof MembershipMessage.LinkDown down) {
+      return new MembershipEvent.LinkDown(down.node(), nowMillis);
+    }
+    if (message instanceof MembershipMessage.Probed probed) {
+      return new MembershipEvent.Probed(probed.asker(), probed.target(), probed.alive(), nowMillis);
+    }
+    if (message instanceof MembershipMessage.Registered registered) {
+      return new MembershipEvent.Registered(registered.done(), nowMillis, random);
+    }
+    if (message instanceof MembershipMessage.Sampled sampled) {
+      return new MembershipEvent.Sampled(sampled.registered(), nowMillis, random);
+    }
+    return message instanceof MembershipMessage.Leave
+        ? new MembershipEvent.Leave(nowMillis)
+        : new MembershipEvent.Tick(nowMillis, random);
+  }
+
+  private void handle(MembershipEffect effect) {
+    if (effect instanceof MembershipEffect.Send send) {
+      peers.send(new PeerServiceMessage.Contact(send.to(), send.message()));
+      return;
+    }
+    if (effect instanceof MembershipEffect.Link link) {
+      peers.send(new PeerServiceMessage.Links(link.to()));
+      return;
+    }
+    if (effect instanceof MembershipEffect.View view) {
+      tell(view.others());
       return;
     }
-    Vector<Member> next = members.get().reject(member -> member.node().equals(self.node()));
-    if (next.equals(others)) {
+    if (effect instanceof MembershipEffect.Probe probe) {
+      probe(probe);
       return;
     }
+    if (effect instanceof MembershipEffect.Changed changed) {
+      logger.atInfo().log(
+          "event=member node=%s incarnation=%d refutation=%d status=%s cause=%s",
+          changed.update().member().node(),
+          changed.update().member().incarnation(),
+          changed.update().refutation(),
+          changed.update().status(),
+          changed.cause());
+      return;
+    }
+    askPlatform(effect);
+  }
+
+  private void tell(Vector<Member> next) {
     others = next;
     logger.atInfo().log("event=membership others=%d", others.size());
     listeners.forEach(listener -> listener.send(others));
   }
+
+  private void probe(MembershipEffect.Probe probe) {
+    Mono.<Boolean>create(
+            sink -> peers.send(new PeerServiceMessage.Probe(probe.target(), sink::success)))
+        .timeout(PROBE_LIMIT, Mono.just(false), context.scheduler())
+        .subscribe(
+            alive ->
+                context
+                    .self()
+                    .send(new MembershipMessage.Probed(probe.asker(), probe.target(), alive)));
+  }
+
+  private void askPlatform(MembershipEffect effect) {
+    if (effect instanceof MembershipEffect.Register register) {
+      registrations
+          .register(register.self())
+          .timeout(PLATFORM_LIMIT, Mono.just(false), context.scheduler())
+          .subscribe(done -> context.self().send(new MembershipMessage.Registered(done)));
+      return;
+    }
+    if (effect instanceof MembershipEffect.Sample sample) {
+      registrations
+          .sample(sample.position())
+          .timeout(PLATFORM_LIMIT, Mono.just(Vector.empty()), context.scheduler())
+          .subscribe(found -> context.self().send(new MembershipMessage.Sampled(found)));
+      return;
+    }
+    registrations.remove(((MembershipEffect.Unregister) effect).self()).subscribe();
+  }
 }
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/membership/Registrations.java
@@ -0,0 +1,114 @@
+package org.clementinepost.node.membership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import java.util.function.LongSupplier;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.platform.Item;
+import org.clementinepost.platform.ItemCondition;
+import org.clementinepost.platform.ItemKey;
+import org.clementinepost.platform.ItemWrite;
+import org.clementinepost.platform.TableService;
+import org.clementinepost.policy.membership.StableHash;
+import reactor.core.publisher.Mono;
+
+/**
+ * The nodes' registrations in the table.
+ *
+ * <p>They are sorted by a hash, so that a few read from a random place on are a random sample. One
+ * that was not renewed for long is passed over.
+ */
+final class Registrations {
+  private static final String PARTITION = "nodes";
+  private static final int SAMPLE_ITEMS = 16;
+  private static final long LIFETIME_MILLIS = 1_800_000;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final TableService table;
+  private final LongSupplier epochMillis;
+
+  Registrations(TableService table, LongSupplier epochMillis) {
+    this.table = table;
+    this.epochMillis = epochMillis;
+  }
+
+  /** Writes or renews a node's registration. */
+  Mono<Boolean> register(Member member) {
+    Item item = new Item(key(member.node()), member.incarnation(), write(member));
+    return write(new ItemWrite(item.key(), new ItemCondition.Always(), Option.some(item)));
+  }
+
+  /** Removes a node's registration, unless a later incarnation has renewed it. */
+  Mono<Boolean> remove(Member member) {
+    return write(
+        new ItemWrite(
+            key(member.node()), new ItemCondition.AtVersion(member.incarnation()), Option.none()));
+  }
+
+  private Mono<Boolean> write(ItemWrite write) {
+    return table.write(Vector.of(write)).map(Either::isRight);
+  }
+
+  /** Reads a few registrations after a place, and from the start when the end is near. */
+  Mono<Vector<Member>> sample(long position) {
+    Option<String> after = Option.some(hex(position));
+    return query(after)
+        .flatMap(
+            found ->
+                found.size() == SAMPLE_ITEMS
+                    ? Mono.just(found)
+                    : query(Option.none()).map(start -> found.appendAll(start).distinct()))
+        .map(items -> items.flatMap(this::read));
+  }
+
+  private Mono<Vector<Item>> query(Option<String> after) {
+    return table
+        .query(PARTITION, after, SAMPLE_ITEMS)
+        .map(items -> items.<Vector<Item>>fold((Failure failure) -> Vector.empty(), all -> all));
+  }
+
+  private static ItemKey key(NodeId node) {
+    return new ItemKey(PARTITION, hex(StableHash.of(node.value())) + "-" + node);
+  }
+
+  private static String hex(long hash) {
+    return String.format("%016x", hash);
+  }
+
+  private String write(Member member) {
+    return MAPPER
+        .createObjectNode()
+        .put("node", member.node().value())
+        .put("address", member.peerAddress().toString())
+        .put("failureDomain", member.domain().value())
+        .put("registeredEpochMillis", epochMillis.getAsLong())
+        .toString();
+  }
+
+  private Option<Member> read(Item item) {
+    return Try.of(() -> MAPPER.readTree(item.body()))
+        .toOption()
+        .filter(this::isFresh)
+        .flatMap(body -> Try.of(() -> member(item, body)).toOption());
+  }
+
+  private boolean isFresh(JsonNode body) {
+    return epochMillis.getAsLong() - body.path("registeredEpochMillis").asLong() < LIFETIME_MILLIS;
+  }
+
+  private static Member member(Item item, JsonNode body) {
+    return new Member(
+        new NodeId(body.path("node").asText()),
+        item.version(),
+        NetworkAddress.parse(body.path("address").asText()),
+        new FailureDomainId(body.path("failureDomain").asText()));
+  }
+}
--- a/node/src/main/java/org/clementinepost/node/peer/ConnectionMessage.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ConnectionMessage.java
@@ -25,6 +25,12 @@
   /** Sends a message to the other side. */
   record Send(PeerMessage message) implements ConnectionMessage {}
 
+  /** Tells whether the connection is kept when it carries no stream. */
+  record Keep(boolean wanted) implements ConnectionMessage {}
+
+  /** Asks the other side for a sign of life; false comes when the connection ends first. */
+  record Probe(Reply<Boolean> alive) implements ConnectionMessage {}
+
   /** Opens a stream for a request. */
   record Open(
       BackendServerId server,
--- a/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
@@ -140,6 +140,11 @@
     streams = streams.remove(streamId);
   }
 
+  @Override
+  public boolean isIdle() {
+    return streams.isEmpty();
+  }
+
   @Override
   public void endAll(Failure failure) {
     Map<Long, Opened> ended = streams;
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -1,6 +1,7 @@
 package org.clementinepost.node.peer;
 
 import com.google.common.flogger.FluentLogger;
+import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import org.clementinepost.api.peer.StreamMessage;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.exchange.ExchangeService;
@@ -22,13 +24,18 @@
 /**
  * The task of one connection between two nodes; it alone writes to the socket.
  *
- * <p>A connection on which nothing arrives for {@link #SILENCE_LIMIT_NANOS} is closed, so that a
- * frozen or cut-off peer does not hold requests until their deadline.
+ * <p>A connection that carries streams or is kept, and on which nothing arrives for {@link
+ * #SILENCE_LIMIT_NANOS}, is closed, so that a frozen or cut-off peer does not hold requests until
+ * their deadline. Any other connection costs no message, and is closed when nothing was said on it
+ * for long.
  */
 final class PeerConnection implements Behaviour<ConnectionMessage> {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long PING_MILLIS = 500;
+  private static final int TICKS_PER_KEPT_PING = 2;
   private static final long SILENCE_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+  private static final long OPENER_IDLE_LIMIT_NANOS = TimeUnit.MINUTES.toNanos(5);
+  private static final long ACCEPTOR_IDLE_LIMIT_NANOS = TimeUnit.MINUTES.toNanos(15);
 
   private final TaskContext<ConnectionMessage> context;
   private final PeerCodec codec;
@@ -37,9 +44,14 @@
   private final ControlReceiver control;
   private final StreamRole streams;
   private final String timerName;
+  private final long idleLimitNanos;
   private Option<NodeId> peer = Option.none();
+  private Vector<Reply<Boolean>> probes = Vector.empty();
+  private boolean kept;
   private long lastHeardNanos;
-  private long pings;
+  private long lastSaidNanos;
+  private long watchedSinceNanos;
+  private long ticks;
   private boolean closed;
 
   private PeerConnection(
@@ -59,7 +71,10 @@
             ? new OpenedStreams(context.self(), this::write)
             : new ServedStreams(
                 context.self(), this::write, context.registry().find(ExchangeService.NAME));
+    this.idleLimitNanos = opener ? OPENER_IDLE_LIMIT_NANOS : ACCEPTOR_IDLE_LIMIT_NANOS;
     this.lastHeardNanos = context.clock().nowNanos();
+    this.lastSaidNanos = lastHeardNanos;
+    this.watchedSinceNanos = lastHeardNanos;
     this.timerName = "peer-connection-" + System.identityHashCode(this);
     write(new LinkMessage.Hello(self.node(), self.incarnation()));
     context
@@ -90,6 +105,7 @@
     }
     if (message instanceof ConnectionMessage.Frame frame) {
       lastHeardNanos = context.clock().nowNanos();
+      answerProbes(true);
       codec.decode(frame.content().bytes()).fold(this::protocolFailure, this::receive);
       return;
     }
@@ -105,9 +121,32 @@
       write(send.message());
       return;
     }
+    if (message instanceof ConnectionMessage.Keep keep) {
+      keep(keep.wanted());
+      return;
+    }
+    if (message instanceof ConnectionMessage.Probe probe) {
+      probes = probes.append(probe.alive());
+      write(new LinkMessage.Ping(ticks));
+      return;
+    }
     streams.local(message);
   }
 
+  /** A connection that is kept from now on may have been greeted long before. */
+  private void keep(boolean wanted) {
+    boolean starts = wanted && !kept;
+    kept = wanted;
+    if (starts) {
+      peer.forEach(node -> owner.send(new PeerServiceMessage.Greeted(node, context.self())));
+    }
+  }
+
+  private void answerProbes(boolean alive) {
+    probes.forEach(probe -> probe.send(alive));
+    probes = Vector.empty();
+  }
+
   /** A request for a connection that has ended was not sent. */
   private static void refuse(ConnectionMessage message) {
     if (message instanceof ConnectionMessage.Open open) {
@@ -116,6 +155,9 @@
     if (message instanceof ConnectionMessage.Answered answered) {
       answered.answer().forEach(answer -> answer.discard());
     }
+    if (message instanceof ConnectionMessage.Probe probe) {
+      probe.alive().send(false);
+    }
   }
 
   private Void receive(PeerMessage message) {
@@ -146,16 +188,32 @@
   }
 
   private void tick() {
-    if (context.clock().nowNanos() - lastHeardNanos > SILENCE_LIMIT_NANOS) {
+    long nowNanos = context.clock().nowNanos();
+    boolean watched = kept || !streams.isIdle();
+    if (!watched) {
+      watchedSinceNanos = nowNanos;
+      closeIfIdle(nowNanos);
+      return;
+    }
+    if (nowNanos - Math.max(lastHeardNanos, watchedSinceNanos) > SILENCE_LIMIT_NANOS) {
       logger.atWarning().log("event=peer-silent peer=%s", peer);
       end();
       return;
     }
-    pings++;
-    write(new LinkMessage.Ping(pings));
+    ticks++;
+    if (!streams.isIdle() || ticks % TICKS_PER_KEPT_PING == 0) {
+      write(new LinkMessage.Ping(ticks));
+    }
+  }
+
+  private void closeIfIdle(long nowNanos) {
+    if (nowNanos - Math.max(lastHeardNanos, lastSaidNanos) > idleLimitNanos) {
+      end();
+    }
   }
 
   private void write(PeerMessage message) {
+    lastSaidNanos = context.clock().nowNanos();
     transport.send(codec.encode(message));
   }
 
@@ -166,6 +224,7 @@
     closed = true;
     transport.close();
     context.registry().find(TimerService.NAME).send(new TimerService.Cancel(timerName));
+    answerProbes(false);
     streams.endAll(Failure.of(ResultCode.PEER_LOST, peer.map(NodeId::value).getOrElse("")));
     owner.send(new PeerServiceMessage.Ended(context.self()));
   }
--- a/node/src/main/java/org/clementinepost/node/peer/PeerService.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerService.java
@@ -20,6 +20,7 @@
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.SpawnedTask;
 import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
 import org.clementinepost.wire.PeerCodec;
@@ -32,7 +33,8 @@
  *
  * <p>A node opens the streams of its own requests on connections that it has dialed; a message that
  * belongs to no stream takes any connection to its node. What is sent while a connection is being
- * made waits for it.
+ * made waits for it. The links that the membership asks for are dialed again when they go down; all
+ * others are made when they are needed.
  */
 public final class PeerService implements Behaviour<PeerServiceMessage> {
   /** The name by which the service is found. */
@@ -41,17 +43,24 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration DIAL_TIMEOUT = Duration.ofSeconds(1);
+  private static final long TICK_MILLIS = 250;
   private static final int MAX_WAITING_MESSAGES = 1_024;
 
+  private record Dial(Member member, SpawnedTask<ConnectionMessage> task) {}
+
   private final TaskContext<PeerServiceMessage> context;
   private final Member self;
   private final ControlReceiver control;
+  private final Address<MembershipMessage> membership;
   private final PeerCodec codec = PeerCodec.standard();
   private final DisposableServer server;
   private Map<NodeId, Member> members = HashMap.empty();
-  private Map<NodeId, SpawnedTask<ConnectionMessage>> dialed = HashMap.empty();
+  private KeptLinks kept = KeptLinks.none();
+  private Map<NodeId, Dial> dialed = HashMap.empty();
   private Map<NodeId, Vector<ConnectionMessage>> dialing = HashMap.empty();
-  private Vector<SpawnedTask<ConnectionMessage>> accepted = Vector.empty();
+  private Map<Address<ConnectionMessage>, SpawnedTask<ConnectionMessage>> accepted =
+      HashMap.empty();
+  private Map<NodeId, Address<ConnectionMessage>> greeted = HashMap.empty();
 
   private PeerService(
       TaskContext<PeerServiceMessage> context, PeerListener listener, ControlReceiver control) {
@@ -59,13 +68,20 @@
     this.self = listener.self();
     this.control = control;
     this.server = listener.server();
+    this.membership = context.registry().find(MembershipService.NAME);
     listener.attach(connection -> context.self().send(new PeerServiceMessage.Accepted(connection)));
+    membership.send(
+        new MembershipMessage.Subscribe(
+            others -> context.self().send(new PeerServiceMessage.Members(others))));
     context
         .registry()
-        .find(MembershipService.NAME)
+        .find(TimerService.NAME)
         .send(
-            new MembershipMessage.Subscribe(
-                others -> context.self().send(new PeerServiceMessage.Members(others))));
+            new TimerService.Every(
+                NAME.text(),
+                TICK_MILLIS,
+                TICK_MILLIS,
+                () -> context.self().send(new PeerServiceMessage.Tick())));
   }
 
   /** Defines the service on a node whose port is open. */
@@ -80,46 +96,89 @@
   @Override
   public void receive(PeerServiceMessage message) {
     if (message instanceof PeerServiceMessage.Exchange exchange) {
-      deliver(
-          exchange.to(),
-          new ConnectionMessage.Open(
-              exchange.server(),
-              exchange.head(),
-              exchange.body(),
-              exchange.cancelled(),
-              exchange.reply()));
+      exchange(exchange);
       return;
     }
     if (message instanceof PeerServiceMessage.Send send) {
-      deliver(send.to(), new ConnectionMessage.Send(send.message()));
+      send(send.to(), address(send.to()), new ConnectionMessage.Send(send.message()));
       return;
     }
-    if (message instanceof PeerServiceMessage.Members changed) {
-      members = changed.others().toMap(Member::node, member -> member);
+    if (message instanceof PeerServiceMessage.Contact contact) {
+      Member to = contact.to();
+      send(to.node(), Option.some(to), new ConnectionMessage.Send(contact.message()));
+      return;
+    }
+    if (message instanceof PeerServiceMessage.Probe probe) {
+      Member to = probe.to();
+      deliver(to.node(), Option.some(to), new ConnectionMessage.Probe(probe.alive()));
       return;
     }
     if (message instanceof PeerServiceMessage.Accepted arrived) {
-      accepted = accepted.append(spawn(arrived.connection(), false));
+      SpawnedTask<ConnectionMessage> task = spawn(arrived.connection(), false);
+      accepted = accepted.put(task.address(), task);
+      return;
+    }
+    if (message instanceof PeerServiceMessage.Members changed) {
+      members(changed.others());
+      return;
+    }
+    if (message instanceof PeerServiceMessage.Links links) {
+      links(links.to());
       return;
     }
+    connectionChanged(message);
+  }
+
+  private void connectionChanged(PeerServiceMessage message) {
     if (message instanceof PeerServiceMessage.Dialed result) {
       dialed(result);
       return;
     }
+    if (message instanceof PeerServiceMessage.Greeted greeting) {
+      greeted(greeting);
+      return;
+    }
     if (message instanceof PeerServiceMessage.Ended ended) {
       ended(ended.connection());
+      return;
     }
+    kept.due(context.clock().nowMillis()).forEach(this::dialKept);
+  }
+
+  private Option<Member> address(NodeId node) {
+    return members.get(node).orElse(() -> kept.member(node));
+  }
+
+  private void exchange(PeerServiceMessage.Exchange exchange) {
+    deliver(
+        exchange.to(),
+        address(exchange.to()),
+        new ConnectionMessage.Open(
+            exchange.server(),
+            exchange.head(),
+            exchange.body(),
+            exchange.cancelled(),
+            exchange.reply()));
   }
 
-  private void deliver(NodeId to, ConnectionMessage message) {
-    Option<SpawnedTask<ConnectionMessage>> connection = dialed.get(to);
+  /** Sends over a connection that the other side has dialed, when there is no own one. */
+  private void send(NodeId to, Option<Member> member, ConnectionMessage message) {
+    Option<Address<ConnectionMessage>> theirs =
+        dialed.containsKey(to) ? Option.none() : greeted.get(to);
+    if (theirs.exists(connection -> connection.send(message).accepted())) {
+      return;
+    }
+    deliver(to, member, message);
+  }
+
+  private void deliver(NodeId to, Option<Member> member, ConnectionMessage message) {
+    Option<Dial> connection = dialed.get(to);
     if (connection.isDefined()) {
-      if (!connection.get().address().send(message).accepted()) {
+      if (!connection.get().task().address().send(message).accepted()) {
         undeliverable(message);
       }
       return;
     }
-    Option<Member> member = members.get(to);
     Option<Vector<ConnectionMessage>> waiting = dialing.get(to);
     if (member.isEmpty() || waiting.exists(all -> all.size() >= MAX_WAITING_MESSAGES)) {
       undeliverable(message);
@@ -135,6 +194,16 @@
     if (message instanceof ConnectionMessage.Open open) {
       open.reply().send(Either.left(Failure.of(ResultCode.PEER_UNREACHABLE)));
     }
+    if (message instanceof ConnectionMessage.Probe probe) {
+      probe.alive().send(false);
+    }
+  }
+
+  private void dialKept(Member member) {
+    if (!dialed.containsKey(member.node()) && !dialing.containsKey(member.node())) {
+      dialing = dialing.put(member.node(), Vector.of(new ConnectionMessage.Keep(true)));
+      dial(member);
+    }
   }
 
   private void dial(Member member) {
@@ -156,21 +225,25 @@
   }
 
   private void dialEnded(Member member, Either<Failure, ? extends Connection> connection) {
-    context.self().send(new PeerServiceMessage.Dialed(member.node(), connection.map(open -> open)));
+    context.self().send(new PeerServiceMessage.Dialed(member, connection.map(open -> open)));
   }
 
   private void dialed(PeerServiceMessage.Dialed result) {
-    Vector<ConnectionMessage> waiting = dialing.getOrElse(result.to(), Vector.empty());
-    dialing = dialing.remove(result.to());
+    NodeId to = result.to().node();
+    Vector<ConnectionMessage> waiting = dialing.getOrElse(to, Vector.empty());
+    dialing = dialing.remove(to);
     if (result.connection().isLeft()) {
-      logger.atWarning().log(
-          "event=peer-unreachable peer=%s detail=%s",
-          result.to(), result.connection().getLeft().detail());
+      logger.atInfo().log(
+          "event=peer-unreachable peer=%s detail=%s", to, result.connection().getLeft().detail());
       waiting.forEach(PeerService::undeliverable);
+      linkDown(result.to());
       return;
     }
     SpawnedTask<ConnectionMessage> connection = spawn(result.connection().get(), true);
-    dialed = dialed.put(result.to(), connection);
+    dialed = dialed.put(to, new Dial(result.to(), connection));
+    if (kept.contains(to)) {
+      connection.address().send(new ConnectionMessage.Keep(true));
+    }
     waiting.forEach(connection.address()::send);
   }
 
@@ -189,20 +262,77 @@
                     address -> TcpTransport.attach(connection, address))));
   }
 
-  private void ended(Address<ConnectionMessage> connection) {
+  private void greeted(PeerServiceMessage.Greeted greeting) {
+    if (accepted.containsKey(greeting.connection())) {
+      greeted = greeted.put(greeting.peer(), greeting.connection());
+      return;
+    }
+    if (kept.contains(greeting.peer())) {
+      kept = kept.up(greeting.peer());
+      membership.send(new MembershipMessage.LinkUp(greeting.peer()));
+    }
+  }
+
+  /** A connection to a process that another one has replaced is of no use any more. */
+  private void members(Vector<Member> others) {
+    members = others.toMap(Member::node, member -> member);
     dialed
-        .values()
-        .filter(task -> task.address() == connection)
-        .forEach(task -> task.stop().dispose());
-    accepted.filter(task -> task.address() == connection).forEach(task -> task.stop().dispose());
-    dialed = dialed.filterValues(task -> task.address() != connection);
-    accepted = accepted.filter(task -> task.address() != connection);
+        .valuesIterator()
+        .filter(dial -> isReplaced(dial.member()))
+        .forEach(dial -> dial.task().stop().dispose());
+  }
+
+  private boolean isReplaced(Member dialedMember) {
+    return members
+        .get(dialedMember.node())
+        .exists(member -> member.incarnation() > dialedMember.incarnation());
+  }
+
+  private void links(Vector<Member> to) {
+    KeptLinks next = kept.to(to, context.clock().nowMillis());
+    kept.links()
+        .keySet()
+        .diff(next.links().keySet())
+        .forEach(node -> keep(node, new ConnectionMessage.Keep(false)));
+    next.links()
+        .keySet()
+        .diff(kept.links().keySet())
+        .forEach(node -> keep(node, new ConnectionMessage.Keep(true)));
+    kept = next;
+    kept.due(context.clock().nowMillis()).forEach(this::dialKept);
+  }
+
+  private void keep(NodeId node, ConnectionMessage.Keep message) {
+    dialed.get(node).forEach(dial -> dial.task().address().send(message));
+  }
+
+  private void ended(Address<ConnectionMessage> connection) {
+    accepted.get(connection).forEach(task -> task.stop().dispose());
+    accepted = accepted.remove(connection);
+    greeted = greeted.filterValues(address -> address != connection);
+    Option<Dial> lost = dialed.values().find(dial -> dial.task().address() == connection);
+    for (Dial dial : lost) {
+      dial.task().stop().dispose();
+      dialed = dialed.remove(dial.member().node());
+      linkDown(dial.member());
+    }
+  }
+
+  /** The end of a connection to a replaced process says nothing of the new one. */
+  private void linkDown(Member lost) {
+    NodeId node = lost.node();
+    boolean replaced =
+        kept.member(node).exists(member -> member.incarnation() != lost.incarnation());
+    if (kept.contains(node) && !replaced) {
+      kept = kept.down(node, context.clock().nowMillis(), context.random().nextLong());
+      membership.send(new MembershipMessage.LinkDown(node));
+    }
   }
 
   @Override
   public void stop() {
     server.disposeNow(Duration.ofMillis(100));
-    dialed.values().forEach(task -> task.stop().dispose());
-    accepted.forEach(task -> task.stop().dispose());
+    dialed.values().forEach(dial -> dial.task().stop().dispose());
+    accepted.values().forEach(task -> task.stop().dispose());
   }
 }
--- a/node/src/main/java/org/clementinepost/node/peer/PeerServiceMessage.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerServiceMessage.java
@@ -18,9 +18,18 @@
 
 /** What the peer service is told. */
 public sealed interface PeerServiceMessage {
-  /** Sends a message to a node; it is dropped when the node cannot be reached. */
+  /** Sends a message to a live node; it is dropped when the node cannot be reached. */
   record Send(NodeId to, PeerMessage message) implements PeerServiceMessage {}
 
+  /** Sends a message to a node that need not be known to live. */
+  record Contact(Member to, PeerMessage message) implements PeerServiceMessage {}
+
+  /** Keeps links to these nodes, and to no others, and tells the membership of each. */
+  record Links(Vector<Member> to) implements PeerServiceMessage {}
+
+  /** Asks for a sign of life; false comes when the node cannot be reached. */
+  record Probe(Member to, Reply<Boolean> alive) implements PeerServiceMessage {}
+
   /** Sends a request to a backend server behind another node. */
   record Exchange(
       NodeId to,
@@ -38,7 +47,7 @@
   record Accepted(Connection connection) implements PeerServiceMessage {}
 
   /** A connection to another node has been made, or has not. */
-  record Dialed(NodeId to, Either<Failure, Connection> connection) implements PeerServiceMessage {}
+  record Dialed(Member to, Either<Failure, Connection> connection) implements PeerServiceMessage {}
 
   /** A connection has learned who is at its other end. */
   record Greeted(NodeId peer, Address<ConnectionMessage> connection)
@@ -46,4 +55,7 @@
 
   /** A connection has ended. */
   record Ended(Address<ConnectionMessage> connection) implements PeerServiceMessage {}
+
+  /** It is time to dial links that are down. */
+  record Tick() implements PeerServiceMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
@@ -157,6 +157,11 @@
     served.answer().forEach(BodySender::abandon);
   }
 
+  @Override
+  public boolean isIdle() {
+    return streams.isEmpty();
+  }
+
   @Override
   public void endAll(Failure failure) {
     Map<Long, Served> ended = streams;
--- a/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
+++ b/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
@@ -11,6 +11,9 @@
   /** Takes what the streams' own bodies and exchanges have to tell. */
   void local(ConnectionMessage message);
 
+  /** Whether no stream is open. */
+  boolean isIdle();
+
   /** Ends every stream. */
   void endAll(Failure failure);
 }
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/membership/OverlayPolicy.java
@@ -0,0 +1,48 @@
+package org.clementinepost.policy.membership;
+
+import io.vavr.collection.Vector;
+import org.clementinepost.api.NodeId;
+
+/**
+ * Decides which nodes a node keeps links to.
+ *
+ * <p>It hears its successors on the ring and reports their death; the fingers shorten the way of
+ * news. The number of links is the same at any size of the fleet.
+ */
+final class OverlayPolicy {
+  private static final int SUCCESSORS = 3;
+  private static final int FINGERS = 5;
+  private static final int BITS_PER_FINGER = 2;
+
+  private OverlayPolicy() {}
+
+  /** The nodes whose death this node finds out. */
+  static Vector<NodeId> monitored(Ring ring, NodeId self) {
+    return ring.successors(self, SUCCESSORS);
+  }
+
+  /** The nodes that find out another one's death. */
+  static Vector<NodeId> monitorsOf(Ring ring, NodeId target) {
+    return ring.predecessors(target, SUCCESSORS);
+  }
+
+  /** The nodes that links are kept to and news is passed on to. */
+  static Vector<NodeId> links(Ring ring, NodeId self) {
+    return ring.successors(self, SUCCESSORS)
+        .appendAll(ring.fingers(self, FINGERS, BITS_PER_FINGER))
+        .distinct();
+  }
+
+  /** Asks for other links when the ring has changed under the present ones. */
+  static Turn relink(MembershipState state) {
+    if (state.stage() != MembershipState.Stage.JOINED) {
+      return Turn.of(state);
+    }
+    Vector<NodeId> links = links(state.table().ring(), state.self().node());
+    if (links.equals(state.links())) {
+      return Turn.of(state);
+    }
+    return Turn.of(state.withLinks(links))
+        .with(new MembershipEffect.Link(links.flatMap(state.table()::live)));
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/membership/Ring.java
@@ -0,0 +1,134 @@
+package org.clementinepost.policy.membership;
+
+import io.vavr.collection.LinkedHashSet;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import java.util.Arrays;
+import org.clementinepost.api.NodeId;
+
+/**
+ * The live nodes in the order of their hashes, closed to a ring.
+ *
+ * <p>Two sorted arrays that are copied at each change: at several thousand nodes a copy costs a
+ * microsecond, and a change comes every few seconds.
+ */
+public final class Ring {
+  private static final Ring EMPTY = new Ring(new long[0], new NodeId[0]);
+
+  private final long[] hashes;
+  private final NodeId[] nodes;
+
+  private Ring(long[] hashes, NodeId[] nodes) {
+    this.hashes = hashes;
+    this.nodes = nodes;
+  }
+
+  /** The ring without nodes. */
+  public static Ring empty() {
+    return EMPTY;
+  }
+
+  /** How many nodes there are. */
+  public int size() {
+    return nodes.length;
+  }
+
+  /** The nodes, in the order of the ring. */
+  public Vector<NodeId> nodes() {
+    return Vector.of(nodes);
+  }
+
+  /** The node at a place of the ring, counted from its start. */
+  public NodeId at(int index) {
+    return nodes[index];
+  }
+
+  /** This ring with one more node. */
+  public Ring with(NodeId node) {
+    long hash = StableHash.of(node.value());
+    int index = insertion(hash, node);
+    if (index < nodes.length && nodes[index].equals(node)) {
+      return this;
+    }
+    long[] nextHashes = new long[nodes.length + 1];
+    NodeId[] nextNodes = new NodeId[nodes.length + 1];
+    System.arraycopy(hashes, 0, nextHashes, 0, index);
+    System.arraycopy(nodes, 0, nextNodes, 0, index);
+    nextHashes[index] = hash;
+    nextNodes[index] = node;
+    System.arraycopy(hashes, index, nextHashes, index + 1, nodes.length - index);
+    System.arraycopy(nodes, index, nextNodes, index + 1, nodes.length - index);
+    return new Ring(nextHashes, nextNodes);
+  }
+
+  /** This ring without a node. */
+  public Ring without(NodeId node) {
+    int index = insertion(StableHash.of(node.value()), node);
+    if (index == nodes.length || !nodes[index].equals(node)) {
+      return this;
+    }
+    long[] nextHashes = Arrays.copyOf(hashes, nodes.length - 1);
+    NodeId[] nextNodes = Arrays.copyOf(nodes, nodes.length - 1);
+    System.arraycopy(hashes, index + 1, nextHashes, index, nodes.length - 1 - index);
+    System.arraycopy(nodes, index + 1, nextNodes, index, nodes.length - 1 - index);
+    return new Ring(nextHashes, nextNodes);
+  }
+
+  /** The nodes after one, nearest first, without itself. */
+  public Vector<NodeId> successors(NodeId of, int count) {
+    return walk(of, count, 1);
+  }
+
+  /** The nodes before one, nearest first, without itself. */
+  public Vector<NodeId> predecessors(NodeId of, int count) {
+    return walk(of, count, -1);
+  }
+
+  private Vector<NodeId> walk(NodeId of, int count, int direction) {
+    int index = insertion(StableHash.of(of.value()), of);
+    boolean known = index < nodes.length && nodes[index].equals(of);
+    int first = known || direction < 0 ? index + direction : index;
+    int others = known ? nodes.length - 1 : nodes.length;
+    Vector<NodeId> found = Vector.empty();
+    for (int i = 0; i < Math.min(count, others); i++) {
+      found = found.append(nodes[Math.floorMod(first + i * direction, nodes.length)]);
+    }
+    return found;
+  }
+
+  /**
+   * The nodes at a half, a quarter and so on of the ring, without the node itself.
+   *
+   * <p>They are found by position and not by rank, so that a join or a death elsewhere leaves them
+   * as they are.
+   */
+  public Set<NodeId> fingers(NodeId of, int count, int bitsPerFinger) {
+    long position = StableHash.of(of.value());
+    Set<NodeId> found = LinkedHashSet.empty();
+    for (int i = 1; i <= count && nodes.length > 0; i++) {
+      found = found.add(atOrAfter(position + (1L << (Long.SIZE - i * bitsPerFinger))));
+    }
+    return found.remove(of);
+  }
+
+  private NodeId atOrAfter(long position) {
+    int found = Arrays.binarySearch(hashes, position);
+    int index = found < 0 ? -found - 1 : found;
+    return nodes[index % nodes.length];
+  }
+
+  private int insertion(long hash, NodeId node) {
+    int found = Arrays.binarySearch(hashes, hash);
+    if (found < 0) {
+      return -found - 1;
+    }
+    int index = found;
+    while (index > 0 && hashes[index - 1] == hash) {
+      index--;
+    }
+    while (index < nodes.length && hashes[index] == hash && nodes[index].compareTo(node) < 0) {
+      index++;
+    }
+    return index;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/membership/StableHash.java
@@ -0,0 +1,31 @@
+package org.clementinepost.policy.membership;
+
+/** Hashes names to the same 64 bits in every process and release. */
+public final class StableHash {
+  private static final long OFFSET_BASIS = 0xcbf29ce484222325L;
+  private static final long PRIME = 0x100000001b3L;
+
+  private StableHash() {}
+
+  /** Hashes a name. */
+  public static long of(String name) {
+    long hash = OFFSET_BASIS;
+    for (int i = 0; i < name.length(); i++) {
+      hash = (hash ^ name.charAt(i)) * PRIME;
+    }
+    return mix(hash);
+  }
+
+  /** Hashes two hashes, in their order. */
+  public static long of(long first, long second) {
+    return mix(first * PRIME + second);
+  }
+
+  /** The finalizer of SplitMix64: every bit of the input moves half of the output. */
+  private static long mix(long value) {
+    long z = value;
+    z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+    return z ^ (z >>> 31);
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/clementinepost/wire/MembershipMessageTypes.java
@@ -0,0 +1,94 @@
+package org.clementinepost.wire;
+
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.peer.MemberStatus;
+import org.clementinepost.api.peer.MemberUpdate;
+import org.clementinepost.api.peer.MembershipPeerMessage;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** The encoding of the membership's messages. */
+final class MembershipMessageTypes {
+  private static final Vector<MemberStatus> STATUSES = Vector.of(MemberStatus.values());
+
+  private MembershipMessageTypes() {}
+
+  static Vector<MessageType<?>> all() {
+    return Vector.of(
+        new MessageType<>(
+            50,
+            MembershipPeerMessage.Updates.class,
+            (packer, updates) ->
+                Fields.writeAll(packer, updates.updates(), MembershipMessageTypes::write),
+            unpacker ->
+                new MembershipPeerMessage.Updates(
+                    Fields.readAll(unpacker, MembershipMessageTypes::readUpdate))),
+        new MessageType<>(
+            51,
+            MembershipPeerMessage.Digest.class,
+            (packer, digest) ->
+                Fields.writeAll(
+                    packer.packBoolean(digest.answerWanted()),
+                    digest.buckets(),
+                    MessagePacker::packInt),
+            unpacker ->
+                new MembershipPeerMessage.Digest(
+                    unpacker.unpackBoolean(),
+                    Fields.readAll(unpacker, MessageUnpacker::unpackInt))),
+        new MessageType<>(
+            52,
+            MembershipPeerMessage.Inquiry.class,
+            (packer, inquiry) ->
+                packer.packString(inquiry.target().value()).packLong(inquiry.incarnation()),
+            unpacker ->
+                new MembershipPeerMessage.Inquiry(
+                    new NodeId(unpacker.unpackString()), unpacker.unpackLong())),
+        new MessageType<>(
+            53,
+            MembershipPeerMessage.Testimony.class,
+            (packer, testimony) ->
+                packer
+                    .packString(testimony.target().value())
+                    .packLong(testimony.incarnation())
+                    .packBoolean(testimony.alive()),
+            unpacker ->
+                new MembershipPeerMessage.Testimony(
+                    new NodeId(unpacker.unpackString()),
+                    unpacker.unpackLong(),
+                    unpacker.unpackBoolean())));
+  }
+
+  private static void write(MessagePacker packer, MemberUpdate update) throws IOException {
+    Member member = update.member();
+    packer.packString(member.node().value());
+    packer.packLong(member.incarnation());
+    packer.packString(member.peerAddress().host());
+    packer.packInt(member.peerAddress().port());
+    packer.packString(member.domain().value());
+    packer.packInt(update.refutation());
+    packer.packInt(update.status().ordinal());
+  }
+
+  private static MemberUpdate readUpdate(MessageUnpacker unpacker) throws IOException {
+    Member member =
+        new Member(
+            new NodeId(unpacker.unpackString()),
+            unpacker.unpackLong(),
+            new NetworkAddress(unpacker.unpackString(), unpacker.unpackInt()),
+            new FailureDomainId(unpacker.unpackString()));
+    return new MemberUpdate(member, unpacker.unpackInt(), readStatus(unpacker));
+  }
+
+  private static MemberStatus readStatus(MessageUnpacker unpacker) throws IOException {
+    int ordinal = unpacker.unpackInt();
+    if (ordinal < 0 || ordinal >= STATUSES.size()) {
+      throw new IllegalArgumentException("unknown member status: " + ordinal);
+    }
+    return STATUSES.get(ordinal);
+  }
+}
--- a/wire/src/main/java/org/clementinepost/wire/PeerCodec.java
+++ b/wire/src/main/java/org/clementinepost/wire/PeerCodec.java
@@ -44,7 +44,8 @@
         Vector.<MessageType<?>>empty()
             .appendAll(LinkMessageTypes.all())
             .appendAll(StreamMessageTypes.all())
-            .appendAll(DirectoryMessageTypes.all()));
+            .appendAll(DirectoryMessageTypes.all())
+            .appendAll(MembershipMessageTypes.all()));
   }
 
   /** Encodes a message. */
