Hold each service's backend servers on three nodes, and learn them lazily

Every host sent all its endpoints to every node twice a second (cause): at 3,700 nodes and 160,000 backend servers no node could carry it. Three nodes, chosen by rendezvous hashing, now hold a service; hosts tell them of changes at once and repeat slowly, an ingress node learns a service when a request first needs it and gets a bounded subset, pushed on change. All of it is soft state.

Weighed and left out: flooding endpoints with the membership; a directory node for each region, which would need the regions in the membership.

--- a/kernel/src/main/java/org/clementinepost/kernel/Step.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Step.java
@@ -1,6 +1,7 @@
 package org.clementinepost.kernel;
 
 import io.vavr.collection.Vector;
+import java.util.function.Function;
 
 /**
  * The outcome of one decision: the next state, and what is to be done about it.
@@ -23,4 +24,20 @@
   public static <S, E> Step<S, E> to(S state, Vector<E> effects) {
     return new Step<>(state, effects);
   }
+
+  /** Goes on from the state reached; the effects of both steps stay in order. */
+  public Step<S, E> then(Function<S, Step<S, E>> next) {
+    Step<S, E> after = next.apply(state);
+    return new Step<>(after.state, effects.appendAll(after.effects));
+  }
+
+  /** This step with one more effect. */
+  public Step<S, E> with(E effect) {
+    return new Step<>(state, effects.append(effect));
+  }
+
+  /** This step with more effects. */
+  public Step<S, E> withAll(Iterable<? extends E> more) {
+    return new Step<>(state, effects.appendAll(more));
+  }
 }
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -12,13 +12,17 @@
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Ask;
 import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.Registry;
+import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.Results;
 import org.clementinepost.node.access.AccessMessage;
 import org.clementinepost.node.access.AccessService;
+import org.clementinepost.node.directory.DirectoryMessage;
+import org.clementinepost.node.directory.DirectoryService;
 import org.clementinepost.node.exchange.Answer;
 import org.clementinepost.node.exchange.ExchangeMessage;
 import org.clementinepost.node.exchange.ExchangeService;
@@ -42,11 +46,14 @@
   /** What an ingress waits beyond the deadline that the host keeps itself. */
   private static final long HOST_GRACE_MILLIS = 250;
 
+  private static final Duration LOOK_UP_LIMIT = Duration.ofMillis(2_500);
+
   private final NodeId self;
   private final MonotonicClock clock;
   private final Scheduler scheduler;
   private final Address<AccessMessage> access;
   private final Address<RoutingMessage> routing;
+  private final Address<DirectoryMessage> directory;
   private final Address<ExchangeMessage> exchanges;
   private final Address<PeerServiceMessage> peers;
 
@@ -56,6 +63,7 @@
     this.scheduler = scheduler;
     this.access = registry.find(AccessService.NAME);
     this.routing = registry.find(RoutingService.NAME);
+    this.directory = registry.find(DirectoryService.NAME);
     this.exchanges = registry.find(ExchangeService.NAME);
     this.peers = registry.find(PeerService.NAME);
   }
@@ -78,10 +86,8 @@
 
   private Mono<Either<Failure, Answer>> attempt(
       RequestHead head, UploadBody body, Set<BackendServerId> tried, long deadlineNanos) {
-    Mono<Either<Failure, Endpoint>> placed =
-        Ask.of(routing, reply -> new RoutingMessage.Place(head, tried, reply));
     return Results.then(
-        placed,
+        placed(head, tried),
         endpoint ->
             exchange(endpoint, head, body)
                 .flatMap(
@@ -89,6 +95,32 @@
                         answered(head, body, tried.add(endpoint.server()), deadlineNanos, answer)));
   }
 
+  /** Places a request; the first ones of a service wait until the directory has looked it up. */
+  private Mono<Either<Failure, Endpoint>> placed(RequestHead head, Set<BackendServerId> tried) {
+    Mono<Either<Failure, Endpoint>> place =
+        Ask.of(routing, reply -> new RoutingMessage.Place(head, tried, reply));
+    directory.send(new DirectoryMessage.Wanted(head.service(), Reply.ignored()));
+    return place.flatMap(
+        placed ->
+            tried.isEmpty() && isUnknownService(placed)
+                ? lookUp(head.service()).flatMap(known -> known ? place : Mono.just(placed))
+                : Mono.just(placed));
+  }
+
+  private static boolean isUnknownService(Either<Failure, Endpoint> placed) {
+    return placed.isLeft() && placed.getLeft().code() == ResultCode.NO_BACKEND_SERVER;
+  }
+
+  private Mono<Boolean> lookUp(ServiceId service) {
+    return Mono.<Boolean>create(
+            sink -> {
+              if (!directory.send(new DirectoryMessage.Wanted(service, sink::success)).accepted()) {
+                sink.success(false);
+              }
+            })
+        .timeout(LOOK_UP_LIMIT, Mono.just(false), scheduler);
+  }
+
   private Mono<Either<Failure, Answer>> answered(
       RequestHead head,
       UploadBody body,
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/directory/HostedService.java
@@ -0,0 +1,15 @@
+package org.clementinepost.policy.directory;
+
+import io.vavr.collection.Vector;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.NodeId;
+
+/**
+ * A service that this node has backend servers of.
+ *
+ * @param endpoints the backend servers that take work
+ * @param holders the nodes that were told
+ * @param refreshMillis when they are told again though nothing has changed
+ */
+public record HostedService(
+    Vector<Endpoint> endpoints, Vector<NodeId> holders, long refreshMillis) {}
--- a/policy/src/main/java/org/clementinepost/policy/membership/JoinPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/membership/JoinPolicy.java
@@ -6,6 +6,7 @@
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.peer.MemberStatus;
 import org.clementinepost.api.peer.MemberUpdate;
+import org.clementinepost.kernel.Step;
 
 /**
  * Decides when a node registers, how it meets the fleet, and how parted fleets meet again.
@@ -29,40 +30,46 @@
   private JoinPolicy() {}
 
   /** Does what is due. */
-  static Turn tick(MembershipState state, long nowMillis, long random) {
-    return Turn.of(state)
+  static Step<MembershipState, MembershipEffect> tick(
+      MembershipState state, long nowMillis, long random) {
+    return MembershipStep.of(state)
         .then(s -> register(s, nowMillis))
         .then(s -> sample(s, nowMillis, random))
         .then(s -> compare(s, nowMillis, random));
   }
 
-  private static Turn register(MembershipState state, long nowMillis) {
+  private static Step<MembershipState, MembershipEffect> register(
+      MembershipState state, long nowMillis) {
     if (nowMillis < state.schedule().registerMillis()) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     Schedule next = state.schedule().registerAt(nowMillis + ANSWER_LIMIT_MILLIS);
-    return Turn.of(state.withSchedule(next)).with(new MembershipEffect.Register(state.self()));
+    return MembershipStep.of(state.withSchedule(next))
+        .with(new MembershipEffect.Register(state.self()));
   }
 
   /** The registration is answered: the first time, a look for others follows. */
-  static Turn registered(MembershipState state, boolean done, long nowMillis, long random) {
+  static Step<MembershipState, MembershipEffect> registered(
+      MembershipState state, boolean done, long nowMillis, long random) {
     long waitMillis = jittered(done ? REGISTER_MILLIS : MAX_WAIT_MILLIS, random);
     Schedule registered = state.schedule().registerAt(nowMillis + waitMillis);
     boolean first = registered.sampleMillis() == Schedule.NOT_YET;
-    return Turn.of(state.withSchedule(first ? registered.sampleAt(nowMillis, 0) : registered));
+    return MembershipStep.of(
+        state.withSchedule(first ? registered.sampleAt(nowMillis, 0) : registered));
   }
 
-  private static Turn sample(MembershipState state, long nowMillis, long random) {
+  private static Step<MembershipState, MembershipEffect> sample(
+      MembershipState state, long nowMillis, long random) {
     if (nowMillis < state.schedule().sampleMillis()) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     int inVain = state.schedule().samplesInVain();
     Schedule next = state.schedule().sampleAt(nowMillis + ANSWER_LIMIT_MILLIS, inVain);
-    return Turn.of(state.withSchedule(next)).with(new MembershipEffect.Sample(random));
+    return MembershipStep.of(state.withSchedule(next)).with(new MembershipEffect.Sample(random));
   }
 
   /** Some registrations have come: turns to one node that is not known to live. */
-  static Turn sampled(
+  static Step<MembershipState, MembershipEffect> sampled(
       MembershipState state, Vector<Member> registered, long nowMillis, long random) {
     Vector<Member> unknown = registered.filter(member -> isUnknown(state, member));
     boolean alone = state.isAlone();
@@ -86,14 +93,15 @@
   }
 
   /** Compares tables with one linked node, and with one that is held dead. */
-  private static Turn compare(MembershipState state, long nowMillis, long random) {
+  private static Step<MembershipState, MembershipEffect> compare(
+      MembershipState state, long nowMillis, long random) {
     if (nowMillis < state.schedule().compareMillis()) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     Schedule next = state.schedule().compareAt(nowMillis + jittered(COMPARE_MILLIS, random));
     Vector<Member> links = state.links().flatMap(state.table()::live);
     MemberTable kept = state.table().forgetBefore(nowMillis - FORGET_DEAD_MILLIS);
-    return Turn.of(state.withSchedule(next).withTable(kept))
+    return MembershipStep.of(state.withSchedule(next).withTable(kept))
         .then(s -> meet(s, pick(links, random)))
         .then(s -> meet(s, pick(dead(s), random)));
   }
@@ -114,31 +122,31 @@
   }
 
   /** Tells a node of this one, and asks it to compare tables. */
-  static Turn meet(MembershipState state, Option<Member> other) {
+  static Step<MembershipState, MembershipEffect> meet(MembershipState state, Option<Member> other) {
     if (other.isEmpty()) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
-    return Turn.of(state)
+    return MembershipStep.of(state)
         .with(SpreadPolicy.send(other.get(), Vector.of(state.own())))
         .with(new MembershipEffect.Send(other.get(), SpreadPolicy.digest(state, true)));
   }
 
   /** Another table has been compared with this one, so this node has met the fleet. */
-  static Turn met(MembershipState state) {
+  static Step<MembershipState, MembershipEffect> met(MembershipState state) {
     return state.stage() == MembershipState.Stage.JOINING
-        ? Turn.of(state.withStage(MembershipState.Stage.JOINED).withStaleView())
-        : Turn.of(state);
+        ? MembershipStep.of(state.withStage(MembershipState.Stage.JOINED).withStaleView())
+        : MembershipStep.of(state);
   }
 
   /** This node stops: tells its links and those that monitor it. */
-  static Turn leave(MembershipState state) {
+  static Step<MembershipState, MembershipEffect> leave(MembershipState state) {
     MembershipState leaving = state.withStage(MembershipState.Stage.LEAVING);
     Vector<NodeId> told =
         state
             .links()
             .appendAll(OverlayPolicy.monitorsOf(state.table().ring(), state.self().node()))
             .distinct();
-    return Turn.of(leaving)
+    return MembershipStep.of(leaving)
         .withAll(
             told.flatMap(state.table()::live)
                 .map(member -> SpreadPolicy.send(member, Vector.of(leaving.own()))))
--- a/policy/src/main/java/org/clementinepost/policy/membership/MembershipPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/membership/MembershipPolicy.java
@@ -21,11 +21,11 @@
     return change(state, event)
         .then(OverlayPolicy::relink)
         .then(s -> SpreadPolicy.flush(s, event.nowMillis()))
-        .then(s -> tellView(s, event.nowMillis()))
-        .step();
+        .then(s -> tellView(s, event.nowMillis()));
   }
 
-  private static Turn change(MembershipState state, MembershipEvent event) {
+  private static Step<MembershipState, MembershipEffect> change(
+      MembershipState state, MembershipEvent event) {
     if (event instanceof MembershipEvent.Tick tick) {
       return tick(state, tick);
     }
@@ -52,16 +52,18 @@
     return JoinPolicy.leave(state);
   }
 
-  private static Turn tick(MembershipState state, MembershipEvent.Tick tick) {
+  private static Step<MembershipState, MembershipEffect> tick(
+      MembershipState state, MembershipEvent.Tick tick) {
     if (state.stage() == MembershipState.Stage.LEAVING) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
-    return Turn.of(state)
+    return MembershipStep.of(state)
         .then(s -> SuspicionPolicy.tick(s, tick.nowMillis()))
         .then(s -> JoinPolicy.tick(s, tick.nowMillis(), tick.random()));
   }
 
-  private static Turn received(MembershipState state, MembershipEvent.Received received) {
+  private static Step<MembershipState, MembershipEffect> received(
+      MembershipState state, MembershipEvent.Received received) {
     NodeId from = received.from();
     long nowMillis = received.nowMillis();
     MembershipPeerMessage message = received.message();
@@ -79,15 +81,16 @@
         state, from, (MembershipPeerMessage.Testimony) message, nowMillis);
   }
 
-  private static Turn tellView(MembershipState state, long nowMillis) {
+  private static Step<MembershipState, MembershipEffect> tellView(
+      MembershipState state, long nowMillis) {
     boolean due =
         state.view().stale()
             && state.stage() == MembershipState.Stage.JOINED
             && nowMillis - state.view().toldMillis() >= VIEW_INTERVAL_MILLIS;
     if (!due) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
-    return Turn.of(state.withView(new MembershipState.View(nowMillis, false)))
+    return MembershipStep.of(state.withView(new MembershipState.View(nowMillis, false)))
         .with(new MembershipEffect.View(state.others()));
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/membership/MembershipState.java
+++ b/policy/src/main/java/org/clementinepost/policy/membership/MembershipState.java
@@ -22,7 +22,7 @@
  * @param unreachable live nodes that this one alone cannot reach
  * @param links the nodes that links are kept to
  * @param view what the other services were told last
- * @param schedule when to turn to the table and to others
+ * @param schedule when to step to the table and to others
  */
 public record MembershipState(
     Member self,
--- a/policy/src/main/java/org/clementinepost/policy/membership/OverlayPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/membership/OverlayPolicy.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Vector;
 import org.clementinepost.api.NodeId;
+import org.clementinepost.kernel.Step;
 
 /**
  * Decides which nodes a node keeps links to.
@@ -34,15 +35,15 @@
   }
 
   /** Asks for other links when the ring has changed under the present ones. */
-  static Turn relink(MembershipState state) {
+  static Step<MembershipState, MembershipEffect> relink(MembershipState state) {
     if (state.stage() != MembershipState.Stage.JOINED) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     Vector<NodeId> links = links(state.table().ring(), state.self().node());
     if (links.equals(state.links())) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
-    return Turn.of(state.withLinks(links))
+    return MembershipStep.of(state.withLinks(links))
         .with(new MembershipEffect.Link(links.flatMap(state.table()::live)));
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/membership/SpreadPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/membership/SpreadPolicy.java
@@ -7,6 +7,7 @@
 import org.clementinepost.api.peer.MemberStatus;
 import org.clementinepost.api.peer.MemberUpdate;
 import org.clementinepost.api.peer.MembershipPeerMessage;
+import org.clementinepost.kernel.Step;
 
 /**
  * Decides which news is believed and to whom it is passed on.
@@ -20,17 +21,17 @@
   private SpreadPolicy() {}
 
   /** Takes several pieces of news from another node. */
-  static Turn receive(
+  static Step<MembershipState, MembershipEffect> receive(
       MembershipState state, NodeId from, Vector<MemberUpdate> updates, long nowMillis) {
-    Turn turn = Turn.of(state);
+    Step<MembershipState, MembershipEffect> step = MembershipStep.of(state);
     for (MemberUpdate update : updates) {
-      turn = turn.then(s -> learn(s, update, Option.some(from), "told-by-" + from, nowMillis));
+      step = step.then(s -> learn(s, update, Option.some(from), "told-by-" + from, nowMillis));
     }
-    return turn;
+    return step;
   }
 
   /** Takes one piece of news, and passes it on when it is new. */
-  static Turn learn(
+  static Step<MembershipState, MembershipEffect> learn(
       MembershipState state,
       MemberUpdate update,
       Option<NodeId> from,
@@ -41,7 +42,7 @@
       return ofSelf(state, update, nowMillis);
     }
     if (!state.table().isNews(update)) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     Ring before = state.table().ring();
     MembershipState known =
@@ -54,7 +55,7 @@
         state.stage() == MembershipState.Stage.JOINING
             ? known
             : known.withFlood(known.flood().with(update, from));
-    return Turn.of(next)
+    return MembershipStep.of(next)
         .with(new MembershipEffect.Changed(update, cause))
         .withAll(tellAccused(before, state.self().node(), update));
   }
@@ -65,17 +66,18 @@
    * <p>News of a later incarnation is of another process that has taken the node's name; no denial
    * can settle that.
    */
-  private static Turn ofSelf(MembershipState state, MemberUpdate update, long nowMillis) {
+  private static Step<MembershipState, MembershipEffect> ofSelf(
+      MembershipState state, MemberUpdate update, long nowMillis) {
     boolean accused =
         !update.isAlive()
             && update.member().incarnation() == state.self().incarnation()
             && update.supersedes(state.own());
     if (!accused || state.stage() == MembershipState.Stage.LEAVING) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     MembershipState denied = state.withRefutation(update.refutation() + 1);
     MemberUpdate own = denied.own();
-    return Turn.of(
+    return MembershipStep.of(
             denied
                 .withTable(denied.table().with(own, nowMillis))
                 .withFlood(denied.flood().with(own, Option.none())))
@@ -92,43 +94,46 @@
   }
 
   /** Tells a node that is held dead, and yet speaks, so that it can deny it. */
-  static Turn answerTheDead(MembershipState state, NodeId from) {
+  static Step<MembershipState, MembershipEffect> answerTheDead(MembershipState state, NodeId from) {
     Option<MemberUpdate> dead =
         state.table().newest(from).filter(update -> update.status() == MemberStatus.DEAD);
-    return Turn.of(state).withAll(dead.map(update -> send(update.member(), Vector.of(update))));
+    return MembershipStep.of(state)
+        .withAll(dead.map(update -> send(update.member(), Vector.of(update))));
   }
 
   /** Passes on the news that waits, when it is due. */
-  static Turn flush(MembershipState state, long nowMillis) {
+  static Step<MembershipState, MembershipEffect> flush(MembershipState state, long nowMillis) {
     if (!state.flood().isDue(nowMillis)) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     Vector<Flood.Item> items = state.flood().next();
-    Turn turn = Turn.of(state.withFlood(state.flood().sent(nowMillis)));
+    Step<MembershipState, MembershipEffect> step =
+        MembershipStep.of(state.withFlood(state.flood().sent(nowMillis)));
     for (Member link : state.links().flatMap(state.table()::live)) {
       Vector<MemberUpdate> updates =
           items.reject(item -> item.from().contains(link.node())).map(Flood.Item::update);
       if (!updates.isEmpty()) {
-        turn = turn.with(send(link, updates));
+        step = step.with(send(link, updates));
       }
     }
-    return turn;
+    return step;
   }
 
   /** Compares another node's digest with this table, and sends what differs. */
-  static Turn compare(MembershipState state, NodeId from, MembershipPeerMessage.Digest digest) {
+  static Step<MembershipState, MembershipEffect> compare(
+      MembershipState state, NodeId from, MembershipPeerMessage.Digest digest) {
     Option<Member> sender = state.table().newest(from).map(MemberUpdate::member);
     if (sender.isEmpty()) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
-    Turn turn = Turn.of(state);
+    Step<MembershipState, MembershipEffect> step = MembershipStep.of(state);
     Vector<MemberUpdate> differing = state.table().differing(digest.buckets());
     for (Vector<MemberUpdate> part : differing.grouped(MAX_UPDATES_PER_MESSAGE)) {
-      turn = turn.with(send(sender.get(), part));
+      step = step.with(send(sender.get(), part));
     }
     return digest.answerWanted()
-        ? turn.with(new MembershipEffect.Send(sender.get(), digest(state, false)))
-        : turn;
+        ? step.with(new MembershipEffect.Send(sender.get(), digest(state, false)))
+        : step;
   }
 
   static MembershipPeerMessage.Digest digest(MembershipState state, boolean answerWanted) {
--- a/policy/src/main/java/org/clementinepost/policy/membership/SuspicionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/membership/SuspicionPolicy.java
@@ -9,6 +9,7 @@
 import org.clementinepost.api.peer.MemberStatus;
 import org.clementinepost.api.peer.MemberUpdate;
 import org.clementinepost.api.peer.MembershipPeerMessage;
+import org.clementinepost.kernel.Step;
 
 /**
  * Decides when a node that is no longer heard is dead.
@@ -26,42 +27,45 @@
   private SuspicionPolicy() {}
 
   /** A kept link is down: suspects the node when it is this node's to monitor. */
-  static Turn linkDown(MembershipState state, NodeId node, long nowMillis) {
+  static Step<MembershipState, MembershipEffect> linkDown(
+      MembershipState state, NodeId node, long nowMillis) {
     Option<Member> target = state.table().live(node);
     boolean monitored =
         OverlayPolicy.monitored(state.table().ring(), state.self().node()).contains(node);
     if (target.isEmpty() || !monitored || state.suspicions().containsKey(node)) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     return ask(state, target.get(), 0, nowMillis);
   }
 
   /** A kept link is up: whatever was suspected is settled. */
-  static Turn linkUp(MembershipState state, NodeId node) {
-    return Turn.of(
+  static Step<MembershipState, MembershipEffect> linkUp(MembershipState state, NodeId node) {
+    return MembershipStep.of(
         state
             .withSuspicions(state.suspicions().remove(node))
             .withUnreachable(state.unreachable().remove(node)));
   }
 
   /** Another node asks whether this one reaches a third. */
-  static Turn inquiry(MembershipState state, NodeId from, MembershipPeerMessage.Inquiry inquiry) {
+  static Step<MembershipState, MembershipEffect> inquiry(
+      MembershipState state, NodeId from, MembershipPeerMessage.Inquiry inquiry) {
     Option<MemberUpdate> known = state.table().newest(inquiry.target());
     if (known.isEmpty()) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     Member target = known.get().member();
     if (target.incarnation() > inquiry.incarnation() || !known.get().isAlive()) {
       return testify(state, from, target, known.get().isAlive());
     }
-    return Turn.of(state).with(new MembershipEffect.Probe(from, target));
+    return MembershipStep.of(state).with(new MembershipEffect.Probe(from, target));
   }
 
   /** Tells the node that has asked what came of it. */
-  static Turn testify(MembershipState state, NodeId asker, Member target, boolean alive) {
+  static Step<MembershipState, MembershipEffect> testify(
+      MembershipState state, NodeId asker, Member target, boolean alive) {
     MembershipPeerMessage testimony =
         new MembershipPeerMessage.Testimony(target.node(), target.incarnation(), alive);
-    return Turn.of(state)
+    return MembershipStep.of(state)
         .withAll(
             state
                 .table()
@@ -70,29 +74,30 @@
   }
 
   /** A node that was asked has answered. */
-  static Turn testimony(
+  static Step<MembershipState, MembershipEffect> testimony(
       MembershipState state,
       NodeId from,
       MembershipPeerMessage.Testimony testimony,
       long nowMillis) {
     Option<Suspicion> suspicion = state.suspicions().get(testimony.target());
     if (suspicion.isEmpty() || !suspicion.get().asked().contains(from)) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     Suspicion next = suspicion.get().answered(from, testimony.alive());
     return settle(state.withSuspicion(next), next, nowMillis);
   }
 
   /** Time has passed: settles what can be settled. */
-  static Turn tick(MembershipState state, long nowMillis) {
-    Turn turn = Turn.of(state);
+  static Step<MembershipState, MembershipEffect> tick(MembershipState state, long nowMillis) {
+    Step<MembershipState, MembershipEffect> step = MembershipStep.of(state);
     for (Suspicion suspicion : state.suspicions().values()) {
-      turn = turn.then(s -> settle(s, suspicion, nowMillis));
+      step = step.then(s -> settle(s, suspicion, nowMillis));
     }
-    return turn;
+    return step;
   }
 
-  private static Turn settle(MembershipState state, Suspicion suspicion, long nowMillis) {
+  private static Step<MembershipState, MembershipEffect> settle(
+      MembershipState state, Suspicion suspicion, long nowMillis) {
     long waitedMillis = nowMillis - suspicion.askedMillis();
     boolean overdue = waitedMillis >= ANSWER_WAIT_MILLIS;
     boolean answered = !suspicion.answers().isEmpty();
@@ -100,20 +105,21 @@
       return ask(state, suspicion.target(), suspicion.round() + 1, nowMillis);
     }
     if (suspicion.reachedByAnother()) {
-      return Turn.of(unreachable(state, suspicion));
+      return MembershipStep.of(unreachable(state, suspicion));
     }
     if (answered && (overdue || suspicion.allAnswered())) {
       return condemn(state, suspicion, nowMillis);
     }
     if (!overdue) {
-      return Turn.of(state);
+      return MembershipStep.of(state);
     }
     return suspicion.round() == 0 && !suspicion.asked().isEmpty()
         ? ask(state, suspicion.target(), 1, nowMillis)
-        : Turn.of(unreachable(state, suspicion));
+        : MembershipStep.of(unreachable(state, suspicion));
   }
 
-  private static Turn condemn(MembershipState state, Suspicion suspicion, long nowMillis) {
+  private static Step<MembershipState, MembershipEffect> condemn(
+      MembershipState state, Suspicion suspicion, long nowMillis) {
     NodeId node = suspicion.target().node();
     Option<MemberUpdate> known = state.table().newest(node).filter(MemberUpdate::isAlive);
     MembershipState cleared = state.withSuspicions(state.suspicions().remove(node));
@@ -127,19 +133,20 @@
                     Option.none(),
                     "silent-for-" + (suspicion.answers().size() + 1),
                     nowMillis))
-        .getOrElse(() -> Turn.of(cleared));
+        .getOrElse(() -> MembershipStep.of(cleared));
   }
 
   private static MembershipState unreachable(MembershipState state, Suspicion suspicion) {
     return state.withUnreachable(state.unreachable().add(suspicion.target().node()));
   }
 
-  private static Turn ask(MembershipState state, Member target, int round, long nowMillis) {
+  private static Step<MembershipState, MembershipEffect> ask(
+      MembershipState state, Member target, int round, long nowMillis) {
     Vector<NodeId> witnesses = witnesses(state, target.node(), round, nowMillis);
     MembershipPeerMessage inquiry =
         new MembershipPeerMessage.Inquiry(target.node(), target.incarnation());
     Suspicion suspicion = Suspicion.of(target, nowMillis, witnesses.toSet(), round);
-    return Turn.of(state.withSuspicion(suspicion))
+    return MembershipStep.of(state.withSuspicion(suspicion))
         .withAll(
             witnesses
                 .flatMap(state.table()::live)
--- a/wire/src/main/java/org/clementinepost/wire/DirectoryMessageTypes.java
+++ b/wire/src/main/java/org/clementinepost/wire/DirectoryMessageTypes.java
@@ -11,7 +11,11 @@
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** The encoding of the directory's messages. */
+/**
+ * The encoding of the directory's messages.
+ *
+ * <p>What all endpoints of a message share, its service and perhaps its host, is written once.
+ */
 final class DirectoryMessageTypes {
   private DirectoryMessageTypes() {}
 
@@ -21,7 +25,26 @@
             30,
             DirectoryPeerMessage.Published.class,
             DirectoryMessageTypes::write,
-            DirectoryMessageTypes::readPublished));
+            DirectoryMessageTypes::readPublished),
+        new MessageType<>(
+            31,
+            DirectoryPeerMessage.Subscribe.class,
+            (packer, subscribe) ->
+                packer.packString(subscribe.service().value()).packLong(subscribe.version()),
+            unpacker ->
+                new DirectoryPeerMessage.Subscribe(
+                    new ServiceId(unpacker.unpackString()), unpacker.unpackLong())),
+        new MessageType<>(
+            32,
+            DirectoryPeerMessage.Unsubscribe.class,
+            (packer, unsubscribe) -> packer.packString(unsubscribe.service().value()),
+            unpacker ->
+                new DirectoryPeerMessage.Unsubscribe(new ServiceId(unpacker.unpackString()))),
+        new MessageType<>(
+            33,
+            DirectoryPeerMessage.Subset.class,
+            DirectoryMessageTypes::write,
+            DirectoryMessageTypes::readSubset));
   }
 
   private static void write(MessagePacker packer, DirectoryPeerMessage.Published published)
@@ -29,32 +52,53 @@
     packer.packString(published.host().value());
     packer.packLong(published.incarnation());
     packer.packLong(published.sequence());
-    Fields.writeAll(packer, published.endpoints(), DirectoryMessageTypes::write);
+    packer.packString(published.service().value());
+    Fields.writeAll(packer, published.endpoints(), DirectoryMessageTypes::writeShort);
   }
 
   private static DirectoryPeerMessage.Published readPublished(MessageUnpacker unpacker)
       throws IOException {
-    return new DirectoryPeerMessage.Published(
-        new NodeId(unpacker.unpackString()),
-        unpacker.unpackLong(),
-        unpacker.unpackLong(),
-        Fields.readAll(unpacker, DirectoryMessageTypes::readEndpoint));
+    NodeId host = new NodeId(unpacker.unpackString());
+    long incarnation = unpacker.unpackLong();
+    long sequence = unpacker.unpackLong();
+    ServiceId service = new ServiceId(unpacker.unpackString());
+    Vector<Endpoint> endpoints = Fields.readAll(unpacker, from -> readShort(from, service, host));
+    return new DirectoryPeerMessage.Published(host, incarnation, sequence, service, endpoints);
   }
 
-  private static void write(MessagePacker packer, Endpoint endpoint) throws IOException {
+  private static void write(MessagePacker packer, DirectoryPeerMessage.Subset subset)
+      throws IOException {
+    packer.packString(subset.service().value());
+    packer.packLong(subset.incarnation());
+    packer.packLong(subset.version());
+    packer.packBoolean(subset.complete());
+    Fields.writeAll(
+        packer,
+        subset.endpoints(),
+        (to, endpoint) -> writeShort(to.packString(endpoint.host().value()), endpoint));
+  }
+
+  private static DirectoryPeerMessage.Subset readSubset(MessageUnpacker unpacker)
+      throws IOException {
+    ServiceId service = new ServiceId(unpacker.unpackString());
+    long incarnation = unpacker.unpackLong();
+    long version = unpacker.unpackLong();
+    boolean complete = unpacker.unpackBoolean();
+    Vector<Endpoint> endpoints =
+        Fields.readAll(unpacker, from -> readShort(from, service, new NodeId(from.unpackString())));
+    return new DirectoryPeerMessage.Subset(service, incarnation, version, complete, endpoints);
+  }
+
+  private static void writeShort(MessagePacker packer, Endpoint endpoint) throws IOException {
     packer.packString(endpoint.server().value());
-    packer.packString(endpoint.service().value());
-    packer.packString(endpoint.host().value());
     packer.packString(endpoint.domain().value());
     packer.packInt(endpoint.slots());
   }
 
-  private static Endpoint readEndpoint(MessageUnpacker unpacker) throws IOException {
-    return new Endpoint(
-        new BackendServerId(unpacker.unpackString()),
-        new ServiceId(unpacker.unpackString()),
-        new NodeId(unpacker.unpackString()),
-        new FailureDomainId(unpacker.unpackString()),
-        unpacker.unpackInt());
+  private static Endpoint readShort(MessageUnpacker unpacker, ServiceId service, NodeId host)
+      throws IOException {
+    BackendServerId server = new BackendServerId(unpacker.unpackString());
+    FailureDomainId domain = new FailureDomainId(unpacker.unpackString());
+    return new Endpoint(server, service, host, domain, unpacker.unpackInt());
   }
 }
