--- /dev/null
+++ b/policy/src/test/java/org/clementinepost/policy/membership/FleetRun.java
@@ -0,0 +1,219 @@
+package org.clementinepost.policy.membership;
+
+import io.vavr.collection.Vector;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.NodeId;
+
+/**
+ * Runs the membership decision of several nodes under virtual time, with messages that take time,
+ * overtake each other and get lost.
+ */
+final class FleetRun {
+  private static final long TICK_MILLIS = 200;
+  private static final long RESET_MILLIS = 20;
+  private static final long SILENCE_MILLIS = 2_250;
+  private static final long REDIAL_MILLIS = 1_000;
+  private static final long PROBE_MILLIS = 500;
+  private static final int MAX_LATENCY_MILLIS = 60;
+
+  private record Due(long millis, long number, Runnable action) {}
+
+  private final MembershipPolicy policy = new MembershipPolicy();
+  private final Map<NodeId, MembershipState> nodes = new HashMap<>();
+  private final Map<NodeId, Set<NodeId>> up = new HashMap<>();
+  private final Map<NodeId, Member> registered = new HashMap<>();
+  private final Set<Vector<NodeId>> cuts = new HashSet<>();
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(Comparator.comparingLong(Due::millis).thenComparingLong(Due::number));
+  private final Random random;
+  private final double loss;
+  private long nowMillis = 1_000_000;
+  private long numbers;
+  private boolean platformUp = true;
+
+  FleetRun(long seed, double loss) {
+    this.random = new Random(seed);
+    this.loss = loss;
+  }
+
+  static NodeId node(int number) {
+    return new NodeId("node-" + number);
+  }
+
+  static Member member(NodeId node, long incarnation) {
+    return new Member(
+        node, incarnation, new NetworkAddress("10.0.0.1", 7000), new FailureDomainId("kgn-a"));
+  }
+
+  void start(NodeId node, long incarnation) {
+    nodes.put(node, MembershipState.of(member(node, incarnation), nowMillis));
+    up.put(node, new HashSet<>());
+    tick(node, incarnation);
+  }
+
+  void startAll(int count) {
+    for (int i = 0; i < count; i++) {
+      start(node(i), 1);
+    }
+  }
+
+  /** Ends a process; its machine refuses connections, or is silent. */
+  void kill(NodeId node, boolean silent) {
+    nodes.remove(node);
+    up.forEach((other, links) -> loseLink(other, node, silent ? SILENCE_MILLIS : RESET_MILLIS));
+  }
+
+  void leave(NodeId node) {
+    decide(node, new MembershipEvent.Leave(nowMillis));
+    kill(node, false);
+  }
+
+  /** Cuts the way between two nodes, in both directions. */
+  void cut(NodeId one, NodeId other) {
+    cuts.add(Vector.of(one, other));
+    cuts.add(Vector.of(other, one));
+    loseLink(one, other, SILENCE_MILLIS);
+    loseLink(other, one, SILENCE_MILLIS);
+  }
+
+  void healAll() {
+    cuts.clear();
+  }
+
+  void platformUp(boolean next) {
+    platformUp = next;
+  }
+
+  void runFor(long millis) {
+    long untilMillis = nowMillis + millis;
+    while (!due.isEmpty() && due.peek().millis() <= untilMillis) {
+      Due next = due.poll();
+      nowMillis = next.millis();
+      next.action().run();
+    }
+    nowMillis = untilMillis;
+  }
+
+  Set<NodeId> running() {
+    return nodes.keySet();
+  }
+
+  Vector<NodeId> viewOf(NodeId node) {
+    return nodes.get(node).others().map(Member::node).sorted();
+  }
+
+  MembershipState state(NodeId node) {
+    return nodes.get(node);
+  }
+
+  /** Whether every running node sees exactly the other running ones. */
+  boolean converged() {
+    return nodes.keySet().stream()
+        .allMatch(
+            node ->
+                viewOf(node)
+                    .equals(
+                        Vector.ofAll(nodes.keySet()).reject(other -> other.equals(node)).sorted()));
+  }
+
+  private void after(long millis, Runnable action) {
+    due.add(new Due(nowMillis + millis, numbers++, action));
+  }
+
+  private void tick(NodeId node, long incarnation) {
+    MembershipState state = nodes.get(node);
+    if (state == null || state.self().incarnation() != incarnation) {
+      return;
+    }
+    decide(node, new MembershipEvent.Tick(nowMillis, random.nextLong()));
+    after(TICK_MILLIS, () -> tick(node, incarnation));
+  }
+
+  private void decide(NodeId node, MembershipEvent event) {
+    MembershipState state = nodes.get(node);
+    if (state == null) {
+      return;
+    }
+    var step = policy.decide(state, event);
+    nodes.put(node, step.state());
+    step.effects().forEach(effect -> carryOut(node, effect));
+  }
+
+  private boolean reaches(NodeId from, NodeId to) {
+    return nodes.containsKey(to) && !cuts.contains(Vector.of(from, to));
+  }
+
+  private void carryOut(NodeId node, MembershipEffect effect) {
+    if (effect instanceof MembershipEffect.Send send) {
+      NodeId to = send.to().node();
+      boolean arrives = reaches(node, to) && random.nextDouble() >= loss;
+      if (arrives) {
+        after(
+            1 + random.nextInt(MAX_LATENCY_MILLIS),
+            () -> decide(to, new MembershipEvent.Received(node, send.message(), nowMillis)));
+      }
+    }
+    if (effect instanceof MembershipEffect.Link link) {
+      up.get(node).retainAll(link.to().map(Member::node).toJavaSet());
+      link.to().map(Member::node).reject(up.get(node)::contains).forEach(to -> dial(node, to));
+    }
+    if (effect instanceof MembershipEffect.Probe probe) {
+      boolean alive = reaches(node, probe.target().node());
+      after(
+          alive ? 2 : PROBE_MILLIS,
+          () ->
+              decide(
+                  node,
+                  new MembershipEvent.Probed(probe.asker(), probe.target(), alive, nowMillis)));
+    }
+    if (effect instanceof MembershipEffect.Register register && platformUp) {
+      registered.put(node, register.self());
+    }
+    if (effect instanceof MembershipEffect.Register) {
+      boolean done = platformUp;
+      after(
+          5,
+          () -> decide(node, new MembershipEvent.Registered(done, nowMillis, random.nextLong())));
+    }
+    if (effect instanceof MembershipEffect.Sample) {
+      Vector<Member> found = platformUp ? Vector.ofAll(registered.values()) : Vector.empty();
+      after(
+          5, () -> decide(node, new MembershipEvent.Sampled(found, nowMillis, random.nextLong())));
+    }
+  }
+
+  private void dial(NodeId node, NodeId to) {
+    MembershipState state = nodes.get(node);
+    if (state == null || !state.links().contains(to) || up.get(node).contains(to)) {
+      return;
+    }
+    if (reaches(node, to) && reaches(to, node)) {
+      up.get(node).add(to);
+      decide(node, new MembershipEvent.LinkUp(to, nowMillis));
+      return;
+    }
+    decide(node, new MembershipEvent.LinkDown(to, nowMillis));
+    after(REDIAL_MILLIS, () -> dial(node, to));
+  }
+
+  private void loseLink(NodeId node, NodeId to, long millis) {
+    if (!nodes.containsKey(node) || !up.get(node).remove(to)) {
+      return;
+    }
+    after(
+        millis,
+        () -> {
+          decide(node, new MembershipEvent.LinkDown(to, nowMillis));
+          after(REDIAL_MILLIS, () -> dial(node, to));
+        });
+  }
+}
--- a/wire/src/main/java/org/clementinepost/wire/MembershipMessageTypes.java
+++ b/wire/src/main/java/org/clementinepost/wire/MembershipMessageTypes.java
@@ -14,7 +14,9 @@
 
 /** The encoding of the membership's messages. */
 final class MembershipMessageTypes {
-  private static final Vector<MemberStatus> STATUSES = Vector.of(MemberStatus.values());
+  /** The place in this list is the status's number on the wire. */
+  private static final Vector<MemberStatus> STATUSES =
+      Vector.of(MemberStatus.ALIVE, MemberStatus.DEAD, MemberStatus.LEFT);
 
   private MembershipMessageTypes() {}
 
@@ -71,7 +73,7 @@
     packer.packInt(member.peerAddress().port());
     packer.packString(member.domain().value());
     packer.packInt(update.refutation());
-    packer.packInt(update.status().ordinal());
+    packer.packInt(STATUSES.indexOf(update.status()));
   }
 
   private static MemberUpdate readUpdate(MessageUnpacker unpacker) throws IOException {
@@ -85,10 +87,10 @@
   }
 
   private static MemberStatus readStatus(MessageUnpacker unpacker) throws IOException {
-    int ordinal = unpacker.unpackInt();
-    if (ordinal < 0 || ordinal >= STATUSES.size()) {
-      throw new IllegalArgumentException("unknown member status: " + ordinal);
+    int number = unpacker.unpackInt();
+    if (number < 0 || number >= STATUSES.size()) {
+      throw new IllegalArgumentException("unknown member status: " + number);
     }
-    return STATUSES.get(ordinal);
+    return STATUSES.get(number);
   }
 }
