--- a/node/src/main/java/org/clementinepost/node/membership/MembershipMessage.java
+++ b/node/src/main/java/org/clementinepost/node/membership/MembershipMessage.java
@@ -32,6 +32,6 @@
   /** The table has given some registered nodes; none when it could not be asked. */
   record Sampled(Vector<Member> registered) implements MembershipMessage {}
 
-  /** This node is about to stop: the others are told, and then the reply is sent. */
-  record Leave(Reply<Boolean> told) implements MembershipMessage {}
+  /** This node is about to stop: the others are told. */
+  record Leave() implements MembershipMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
+++ b/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
@@ -82,9 +82,6 @@
       return;
     }
     decision.receive(event(message));
-    if (message instanceof MembershipMessage.Leave leave) {
-      leave.told().send(true);
-    }
   }
 
   private MembershipEvent event(MembershipMessage message) {
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -19,6 +19,7 @@
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.wire.PeerCodec;
 
 /**
@@ -70,7 +71,10 @@
         opener
             ? new OpenedStreams(context.self(), this::write)
             : new ServedStreams(
-                context.self(), this::write, context.registry().find(ExchangeService.NAME));
+                context.self(),
+                this::write,
+                context.registry().find(ExchangeService.NAME),
+                context.registry().find(RoutingService.NAME));
     this.idleLimitNanos = opener ? OPENER_IDLE_LIMIT_NANOS : ACCEPTOR_IDLE_LIMIT_NANOS;
     this.lastHeardNanos = context.clock().nowNanos();
     this.lastSaidNanos = lastHeardNanos;
--- a/policy/src/test/java/org/clementinepost/policy/membership/MemberTableTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/membership/MemberTableTest.java
@@ -75,7 +75,8 @@
             () ->
                 update(random.nextInt(8), random.nextInt(3), random.nextInt(3), random.nextInt(3)));
     MemberTable one = news.foldLeft(MemberTable.empty(), MemberTableTest::learn);
-    MemberTable other = shuffled(news, random).foldLeft(MemberTable.empty(), MemberTableTest::learn);
+    MemberTable other =
+        shuffled(news, random).foldLeft(MemberTable.empty(), MemberTableTest::learn);
     assertThat(other.buckets()).isEqualTo(one.buckets());
     assertThat(other.entries()).isEqualTo(one.entries());
     assertThat(other.ring().nodes()).isEqualTo(one.ring().nodes());
--- a/wire/src/main/java/org/clementinepost/wire/PeerCodec.java
+++ b/wire/src/main/java/org/clementinepost/wire/PeerCodec.java
@@ -45,7 +45,8 @@
             .appendAll(LinkMessageTypes.all())
             .appendAll(StreamMessageTypes.all())
             .appendAll(DirectoryMessageTypes.all())
-            .appendAll(MembershipMessageTypes.all()));
+            .appendAll(MembershipMessageTypes.all())
+            .appendAll(QuotaMessageTypes.all()));
   }
 
   /** Encodes a message. */
