--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -7,6 +7,7 @@
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.peer.DirectoryPeerMessage;
 import org.clementinepost.api.peer.HostReportMessage;
+import org.clementinepost.api.peer.MembershipPeerMessage;
 import org.clementinepost.api.peer.PeerMessage;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Kernel;
@@ -23,6 +24,7 @@
 import org.clementinepost.node.edge.EdgeService;
 import org.clementinepost.node.exchange.ExchangeService;
 import org.clementinepost.node.host.HostService;
+import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
 import org.clementinepost.node.metrics.MetricsService;
 import org.clementinepost.node.operator.OperatorMessage;
@@ -110,6 +112,9 @@
   }
 
   private static void dispatch(Registry registry, NodeId from, PeerMessage message) {
+    if (message instanceof MembershipPeerMessage membership) {
+      registry.find(MembershipService.NAME).send(new MembershipMessage.FromPeer(from, membership));
+    }
     if (message instanceof DirectoryPeerMessage directory) {
       registry.find(DirectoryService.NAME).send(new DirectoryMessage.FromPeer(from, directory));
     }
@@ -151,6 +156,7 @@
   public void stop() {
     logger.atInfo().log("event=node-stopping node=%s", self.node());
     kernel.find(OperatorService.NAME).send(new OperatorMessage.Stopping());
+    kernel.find(MembershipService.NAME).send(new MembershipMessage.Leave());
     Duration limit = Duration.ofMillis(settings.stopTimeoutMillis());
     Mono<Boolean> edgeEmpty = ask(kernel.find(EdgeService.NAME), EdgeMessage.Stop::new);
     Boolean whole =
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -13,13 +13,17 @@
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.RunState;
+import org.clementinepost.api.ServiceId;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Ask;
 import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.Registry;
+import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.Results;
 import org.clementinepost.node.access.AccessMessage;
 import org.clementinepost.node.access.AccessService;
+import org.clementinepost.node.directory.DirectoryMessage;
+import org.clementinepost.node.directory.DirectoryService;
 import org.clementinepost.node.exchange.Answer;
 import org.clementinepost.node.exchange.ExchangeMessage;
 import org.clementinepost.node.exchange.ExchangeService;
@@ -45,11 +49,14 @@
   /** What an ingress waits beyond the deadline that the host keeps itself. */
   private static final long HOST_GRACE_MILLIS = 250;
 
+  private static final Duration LOOK_UP_LIMIT = Duration.ofMillis(2_500);
+
   private final NodeId self;
   private final MonotonicClock clock;
   private final Scheduler scheduler;
   private final Address<AccessMessage> access;
   private final Address<RoutingMessage> routing;
+  private final Address<DirectoryMessage> directory;
   private final Address<ExchangeMessage> exchanges;
   private final Address<PeerServiceMessage> peers;
 
@@ -59,6 +66,7 @@
     this.scheduler = scheduler;
     this.access = registry.find(AccessService.NAME);
     this.routing = registry.find(RoutingService.NAME);
+    this.directory = registry.find(DirectoryService.NAME);
     this.exchanges = registry.find(ExchangeService.NAME);
     this.peers = registry.find(PeerService.NAME);
   }
@@ -82,7 +90,7 @@
   private Mono<Either<Failure, Answer>> attempt(
       RequestHead head, UploadBody body, Set<BackendServerId> tried, long deadlineNanos) {
     return Results.then(
-        place(head, tried), placement -> attempt(head, body, tried, deadlineNanos, placement));
+        placeFirst(head), placement -> attempt(head, body, tried, deadlineNanos, placement));
   }
 
   private Mono<Either<Failure, Placement>> place(RequestHead head, Set<BackendServerId> tried) {
@@ -100,6 +108,32 @@
         .flatMap(answer -> answered(head, body, nowTried, deadlineNanos, answer));
   }
 
+  /** Places a request; the first ones of a service wait until the directory has looked it up. */
+  private Mono<Either<Failure, Placement>> placeFirst(RequestHead head) {
+    directory.send(new DirectoryMessage.Wanted(head.service(), Reply.ignored()));
+    return place(head, HashSet.empty())
+        .flatMap(
+            placed ->
+                isUnknownService(placed)
+                    ? lookUp(head.service())
+                        .flatMap(known -> known ? place(head, HashSet.empty()) : Mono.just(placed))
+                    : Mono.just(placed));
+  }
+
+  private static boolean isUnknownService(Either<Failure, Placement> placed) {
+    return placed.isLeft() && placed.getLeft().code() == ResultCode.NO_BACKEND_SERVER;
+  }
+
+  private Mono<Boolean> lookUp(ServiceId service) {
+    return Mono.<Boolean>create(
+            sink -> {
+              if (!directory.send(new DirectoryMessage.Wanted(service, sink::success)).accepted()) {
+                sink.success(false);
+              }
+            })
+        .timeout(LOOK_UP_LIMIT, Mono.just(false), scheduler);
+  }
+
   private Mono<Either<Failure, Answer>> answered(
       RequestHead head,
       UploadBody body,
