--- a/api/src/main/java/org/clementinepost/api/RequestHead.java
+++ b/api/src/main/java/org/clementinepost/api/RequestHead.java
@@ -17,6 +17,7 @@
  * @param idempotencyKey the caller's idempotency key
  * @param timeoutMillis the time left until the deadline
  * @param bodyBytes the length of the body, {@link #NO_BODY} or {@link #UNKNOWN_LENGTH}
+ * @param handling its rank and how far it may go
  */
 public record RequestHead(
     RequestId requestId,
@@ -29,7 +30,8 @@
     boolean idempotent,
     Option<String> idempotencyKey,
     long timeoutMillis,
-    long bodyBytes) {
+    long bodyBytes,
+    Handling handling) {
 
   /** The body length of a request without a body. */
   public static final long NO_BODY = 0;
@@ -37,6 +39,34 @@
   /** The body length of a request whose body comes in chunks. */
   public static final long UNKNOWN_LENGTH = -1;
 
+  /** A request that no route says more about. */
+  public RequestHead(
+      RequestId requestId,
+      int attempt,
+      Option<CustomerId> customer,
+      ServiceId service,
+      String method,
+      String uri,
+      Vector<HeaderField> headers,
+      boolean idempotent,
+      Option<String> idempotencyKey,
+      long timeoutMillis,
+      long bodyBytes) {
+    this(
+        requestId,
+        attempt,
+        customer,
+        service,
+        method,
+        uri,
+        headers,
+        idempotent,
+        idempotencyKey,
+        timeoutMillis,
+        bodyBytes,
+        Handling.DEFAULT);
+  }
+
   /** The same request on its next attempt, with the time that is left. */
   public RequestHead nextAttempt(int nextAttempt, long remainingMillis) {
     return new RequestHead(
@@ -50,6 +80,7 @@
         idempotent,
         idempotencyKey,
         remainingMillis,
-        bodyBytes);
+        bodyBytes,
+        handling);
   }
 }
--- a/api/src/main/java/org/clementinepost/api/ResultCode.java
+++ b/api/src/main/java/org/clementinepost/api/ResultCode.java
@@ -63,6 +63,7 @@
   PLATFORM_NOT_FOUND(6003, 404, 60, RunState.NOT_RUN, "The platform has no such item"),
   PLATFORM_PROTOCOL(6004, 502, 60, RunState.UNKNOWN, "The platform's answer makes no sense"),
   PLATFORM_THROTTLED(6005, 503, 60, RunState.NOT_RUN, "The platform refuses the load"),
+  PLATFORM_HISTORY_LOST(6006, 410, 60, RunState.NOT_RUN, "The platform has dropped its history"),
 
   PEER_UNREACHABLE(7001, 503, 70, RunState.NOT_RUN, "No connection to the peer node"),
   PEER_PROTOCOL(
--- a/api/src/main/java/org/clementinepost/api/config/RouteTable.java
+++ b/api/src/main/java/org/clementinepost/api/config/RouteTable.java
@@ -6,34 +6,46 @@
 import io.vavr.control.Option;
 
 /**
- * The routes by path prefix; the longest prefix wins.
+ * The routes by host name and path prefix; the longest prefix wins.
  *
  * <p>A look-up tries the path and then each shorter prefix that ends on a segment border, so its
- * cost grows with the path's length and not with the number of routes.
+ * cost grows with the path's length and not with the number of routes. Routes of the request's host
+ * go before those of every host.
  */
 public record RouteTable(Map<String, Route> byPrefix) {
   private static final RouteTable EMPTY = new RouteTable(HashMap.empty());
+  private static final String EVERY_HOST = "";
 
   /** The table without routes. */
   public static RouteTable empty() {
     return EMPTY;
   }
 
-  /** This table with one more route, in place of one with the same prefix. */
+  /** This table with one more route, in place of one with the same host and prefix. */
   public RouteTable with(Route route) {
-    return new RouteTable(byPrefix.put(normalize(route.pathPrefix()), route));
+    return new RouteTable(byPrefix.put(key(route), route));
   }
 
   /** This table without a route's prefix. */
   public RouteTable without(Route route) {
-    return new RouteTable(byPrefix.remove(normalize(route.pathPrefix())));
+    return new RouteTable(byPrefix.remove(key(route)));
   }
 
-  /** Finds the route with the longest prefix of a path. */
+  /** Finds the route with the longest prefix of a path, among those of every host. */
   public Option<Route> match(String path) {
+    return match(EVERY_HOST, path);
+  }
+
+  /** Finds the route with the longest prefix of a path at a host. */
+  public Option<Route> match(String host, String path) {
+    Option<Route> ofHost = host.isEmpty() ? Option.none() : longest(host, path);
+    return ofHost.orElse(() -> longest(EVERY_HOST, path));
+  }
+
+  private Option<Route> longest(String host, String path) {
     String prefix = normalize(path);
     while (true) {
-      Option<Route> found = byPrefix.get(prefix);
+      Option<Route> found = byPrefix.get(host + prefix).filter(route -> covers(route, path));
       if (found.isDefined() || prefix.isEmpty()) {
         return found;
       }
@@ -41,6 +53,17 @@
     }
   }
 
+  /**
+   * A route of one host covers what lies below its prefix, but not the prefix without its slash.
+   */
+  private static boolean covers(Route route, String path) {
+    return route.rules().host().isEmpty() || path.startsWith(route.pathPrefix());
+  }
+
+  private static String key(Route route) {
+    return route.rules().host().getOrElse(EVERY_HOST) + normalize(route.pathPrefix());
+  }
+
   /** The routes, in no order. */
   public Iterator<Route> routes() {
     return byPrefix.valuesIterator();
--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeNode.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeNode.java
@@ -148,9 +148,13 @@
   private static boolean mayFollow(RequestHead head, FakeAnswer answer, long remainingMillis) {
     return answer
         .failure()
-        .map(failure -> RetryPolicy.mayTryAgain(head, failure, false, remainingMillis))
+        .map(
+            failure ->
+                RetryPolicy.mayTryAgain(head, head.attempt(), failure, false, remainingMillis))
         .getOrElse(
-            () -> RetryPolicy.mayReplaceAnswer(head, answer.status(), false, remainingMillis));
+            () ->
+                RetryPolicy.mayReplaceAnswer(
+                    head, head.attempt(), answer.status(), false, remainingMillis));
   }
 
   private void finish(Request request, RequestHead head, FakeAnswer answer) {
--- a/ctl/src/main/java/org/clementinepost/ctl/Changes.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/Changes.java
@@ -6,8 +6,8 @@
 import org.clementinepost.api.config.ConfigurationObject;
 import org.clementinepost.api.config.Delta;
 import org.clementinepost.api.config.ObjectRef;
-import org.clementinepost.platform.config.Documents;
-import org.clementinepost.platform.config.ObjectJson;
+import org.clementinepost.storage.config.Documents;
+import org.clementinepost.storage.config.ObjectJson;
 
 /** Shows a delta object by object. */
 final class Changes {
--- a/ctl/src/main/java/org/clementinepost/ctl/CheckCommand.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/CheckCommand.java
@@ -3,8 +3,8 @@
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.ObjectKind;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.config.check.ConfigurationChecker;
-import org.clementinepost.platform.config.source.ConfigurationFolder;
+import org.clementinepost.storage.config.check.ConfigurationChecker;
+import org.clementinepost.storage.config.source.ConfigurationFolder;
 
 /** Checks a folder. */
 final class CheckCommand implements Command {
--- a/ctl/src/main/java/org/clementinepost/ctl/CommandContext.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/CommandContext.java
@@ -2,11 +2,11 @@
 
 import io.vavr.collection.Vector;
 import java.nio.file.Path;
-import org.clementinepost.platform.Platform;
-import org.clementinepost.platform.config.ConfigurationEditor;
-import org.clementinepost.platform.config.ConfigurationPublisher;
-import org.clementinepost.platform.config.ConfigurationStore;
-import org.clementinepost.platform.config.PublicationStamp;
+import org.clementinepost.storage.Platform;
+import org.clementinepost.storage.config.ConfigurationEditor;
+import org.clementinepost.storage.config.ConfigurationPublisher;
+import org.clementinepost.storage.config.ConfigurationStore;
+import org.clementinepost.storage.config.PublicationStamp;
 
 /**
  * What a command is given.
--- a/ctl/src/main/java/org/clementinepost/ctl/DiffCommand.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/DiffCommand.java
@@ -5,8 +5,8 @@
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.Delta;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.config.check.ConfigurationChecker;
-import org.clementinepost.platform.config.source.ConfigurationFolder;
+import org.clementinepost.storage.config.check.ConfigurationChecker;
+import org.clementinepost.storage.config.source.ConfigurationFolder;
 
 /** Shows how a folder differs from the newest version, and who else has changed what. */
 final class DiffCommand implements Command {
--- a/ctl/src/main/java/org/clementinepost/ctl/Findings.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/Findings.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.collection.Vector;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.config.Documents;
-import org.clementinepost.platform.config.source.Finding;
+import org.clementinepost.storage.config.Documents;
+import org.clementinepost.storage.config.source.Finding;
 
 /** Shows the findings of a check. */
 final class Findings {
--- a/ctl/src/main/java/org/clementinepost/ctl/FolderBase.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/FolderBase.java
@@ -6,7 +6,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import org.clementinepost.platform.config.Documents;
+import org.clementinepost.storage.config.Documents;
 
 /**
  * The version that a folder is based on, kept in a hidden file beside its objects.
--- a/ctl/src/main/java/org/clementinepost/ctl/HistoryCommand.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/HistoryCommand.java
@@ -4,8 +4,8 @@
 import io.vavr.collection.Vector;
 import java.time.Instant;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.config.Documents;
-import org.clementinepost.platform.config.Publication;
+import org.clementinepost.storage.config.Documents;
+import org.clementinepost.storage.config.Publication;
 
 /** Lists the newest versions, the newest first. */
 final class HistoryCommand implements Command {
--- a/ctl/src/main/java/org/clementinepost/ctl/KeyGrantCommand.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/KeyGrantCommand.java
@@ -8,7 +8,7 @@
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.Key;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.config.PublishOutcome;
+import org.clementinepost.storage.config.PublishOutcome;
 
 /** Grants a key: its hash is published, the key itself is shown once and kept nowhere. */
 final class KeyGrantCommand implements Command {
--- a/ctl/src/main/java/org/clementinepost/ctl/OutcomeWriter.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/OutcomeWriter.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintStream;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.config.Documents;
+import org.clementinepost.storage.config.Documents;
 
 /** Prints outcomes: JSON on the standard output, or text with errors on the standard error. */
 record OutcomeWriter(PrintStream output, PrintStream error) {
--- a/ctl/src/main/java/org/clementinepost/ctl/PlatformConnections.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/PlatformConnections.java
@@ -1,8 +1,8 @@
 package org.clementinepost.ctl;
 
-import org.clementinepost.platform.HttpPlatform;
-import org.clementinepost.platform.Platform;
-import org.clementinepost.platform.PlatformSettings;
+import org.clementinepost.storage.HttpPlatform;
+import org.clementinepost.storage.Platform;
+import org.clementinepost.storage.PlatformSettings;
 import reactor.core.Disposable;
 
 /**
--- a/ctl/src/main/java/org/clementinepost/ctl/PublishCommand.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/PublishCommand.java
@@ -3,10 +3,10 @@
 import io.vavr.control.Either;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.config.PublishOutcome;
-import org.clementinepost.platform.config.PublishOutcomes;
-import org.clementinepost.platform.config.check.ConfigurationChecker;
-import org.clementinepost.platform.config.source.ConfigurationFolder;
+import org.clementinepost.storage.config.PublishOutcome;
+import org.clementinepost.storage.config.PublishOutcomes;
+import org.clementinepost.storage.config.check.ConfigurationChecker;
+import org.clementinepost.storage.config.source.ConfigurationFolder;
 
 /** Publishes a folder, if nobody has published since the version that it is based on. */
 final class PublishCommand implements Command {
--- a/ctl/src/main/java/org/clementinepost/ctl/PublishReport.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/PublishReport.java
@@ -1,7 +1,7 @@
 package org.clementinepost.ctl;
 
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.config.PublishOutcome;
+import org.clementinepost.storage.config.PublishOutcome;
 
 /** Shows what became of a publication. */
 final class PublishReport {
--- a/ctl/src/main/java/org/clementinepost/ctl/PullCommand.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/PullCommand.java
@@ -7,9 +7,9 @@
 import org.clementinepost.api.config.Delta;
 import org.clementinepost.api.config.ObjectRef;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.config.check.ConfigurationChecker;
-import org.clementinepost.platform.config.source.ConfigurationFolder;
-import org.clementinepost.platform.config.source.FolderEdit;
+import org.clementinepost.storage.config.check.ConfigurationChecker;
+import org.clementinepost.storage.config.source.ConfigurationFolder;
+import org.clementinepost.storage.config.source.FolderEdit;
 
 /**
  * Brings into a folder what others have published since its base version.
--- a/node/src/main/java/org/clementinepost/node/EmbeddedPlatform.java
+++ b/node/src/main/java/org/clementinepost/node/EmbeddedPlatform.java
@@ -5,12 +5,12 @@
 import java.nio.file.Path;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.InMemoryPlatform;
-import org.clementinepost.platform.Platform;
-import org.clementinepost.platform.config.ConfigurationStore;
-import org.clementinepost.platform.config.check.ConfigurationChecker;
-import org.clementinepost.platform.config.source.ConfigurationFolder;
-import org.clementinepost.platform.config.source.Finding;
+import org.clementinepost.storage.InMemoryPlatform;
+import org.clementinepost.storage.Platform;
+import org.clementinepost.storage.config.ConfigurationStore;
+import org.clementinepost.storage.config.check.ConfigurationChecker;
+import org.clementinepost.storage.config.source.ConfigurationFolder;
+import org.clementinepost.storage.config.source.Finding;
 
 /** Makes the platform in memory of a single node that needs nothing else. */
 final class EmbeddedPlatform {
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -13,16 +13,15 @@
 import org.clementinepost.kernel.Kernel;
 import org.clementinepost.kernel.Registry;
 import org.clementinepost.kernel.Reply;
-import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.node.access.AccessService;
 import org.clementinepost.node.announce.AnnounceMessage;
 import org.clementinepost.node.announce.AnnounceService;
-import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.node.directory.DirectoryMessage;
 import org.clementinepost.node.directory.DirectoryService;
 import org.clementinepost.node.edge.EdgeMessage;
 import org.clementinepost.node.edge.EdgeService;
 import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.node.host.HostMessage;
 import org.clementinepost.node.host.HostService;
 import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
@@ -35,7 +34,6 @@
 import org.clementinepost.node.routing.RoutingMessage;
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.node.settings.NodeSettings;
-import org.clementinepost.platform.PlatformService;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
@@ -44,9 +42,6 @@
 public final class Node {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** The time in which other nodes and callers learn that this node is going. */
-  private static final Duration FAREWELL = Duration.ofMillis(300);
-
   private static final Duration SCHEDULER_STOP_TIMEOUT = Duration.ofSeconds(5);
 
   private final NodeSettings settings;
@@ -64,46 +59,41 @@
   /**
    * Starts a node.
    *
-   * @param platform the platform's client, or a platform in memory
+   * @param backing what the node rests on
    * @param incarnation grows at each start of a node of this name
    */
-  static Node start(
-      NodeSettings settings,
-      ServiceDefinition<PlatformService.Message> platform,
-      long incarnation) {
+  static Node start(NodeSettings settings, Backing backing, long incarnation) {
     PeerListener listener =
         PeerListener.open(
             settings.peer(),
             address -> new Member(settings.node(), incarnation, address, settings.domain()));
     Scheduler scheduler =
         Schedulers.newParallel("node", Runtime.getRuntime().availableProcessors(), true);
-    Kernel kernel = kernel(settings, platform, listener, scheduler, incarnation);
+    Kernel kernel = kernel(settings, backing, listener, scheduler, incarnation);
     return new Node(settings, scheduler, kernel, listener.self());
   }
 
   private static Kernel kernel(
       NodeSettings settings,
-      ServiceDefinition<PlatformService.Message> platform,
+      Backing backing,
       PeerListener listener,
       Scheduler scheduler,
       long seed) {
     Member self = listener.self();
-    return Kernel.builder()
-        .scheduler(scheduler)
-        .seed(seed)
-        .service(MetricsService.definition())
-        .service(platform)
-        .service(ConfigurationService.definition())
-        .service(MembershipService.definition(self))
+    Kernel.Builder builder =
+        Kernel.builder().scheduler(scheduler).seed(seed).service(MetricsService.definition());
+    backing.services().apply(self).forEach(builder::service);
+    return builder
         .service(RoutingService.definition(self))
-        .service(DirectoryService.definition(self))
         .service(HostService.definition(self))
-        .service(ExchangeService.definition(settings.connectionsPerServer()))
+        .service(ExchangeService.definition(settings.connectionsPerServer(), backing.dialect()))
         .service(PeerService.definition(listener, Node::controlReceiver))
-        .service(AccessService.definition())
-        .service(AnnounceService.definition(settings.announce()))
-        .service(OperatorService.definition(self, settings.operator()))
-        .service(EdgeService.definition(self, settings.ingress(), settings.edge()))
+        .service(AccessService.definition(settings.keyWithdrawalMillis()))
+        .service(AnnounceService.definition(settings.announce(), backing.announcements()))
+        .service(
+            OperatorService.definition(
+                self, settings.operator(), backing.dialect().readinessPath()))
+        .service(EdgeService.definition(self, settings, backing.dialect()))
         .start();
   }
 
@@ -157,12 +147,16 @@
     logger.atInfo().log("event=node-stopping node=%s", self.node());
     kernel.find(OperatorService.NAME).send(new OperatorMessage.Stopping());
     kernel.find(MembershipService.NAME).send(new MembershipMessage.Leave());
-    Duration limit = Duration.ofMillis(settings.stopTimeoutMillis());
+    kernel.find(DirectoryService.NAME).send(new DirectoryMessage.Leave());
+    kernel.find(EdgeService.NAME).send(new EdgeMessage.Farewell());
+    Mono<Boolean> hostEmpty = ask(kernel.find(HostService.NAME), HostMessage.Stop::new);
     Mono<Boolean> edgeEmpty = ask(kernel.find(EdgeService.NAME), EdgeMessage.Stop::new);
+    Duration farewell = Duration.ofMillis(settings.farewellMillis());
+    Duration limit = Duration.ofMillis(settings.stopTimeoutMillis());
     Boolean whole =
-        Mono.delay(FAREWELL)
-            .then(edgeEmpty)
-            .timeout(limit.plus(FAREWELL), Mono.just(false))
+        Mono.zip(hostEmpty, Mono.delay(farewell).then(edgeEmpty))
+            .map(both -> true)
+            .timeout(limit.plus(farewell), Mono.just(false))
             .block();
     logger.atInfo().log("event=node-stopped node=%s whole=%s", self.node(), whole);
     kernel.dispose();
--- a/node/src/main/java/org/clementinepost/node/NodeMain.java
+++ b/node/src/main/java/org/clementinepost/node/NodeMain.java
@@ -10,13 +10,13 @@
 import java.nio.file.Path;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.node.settings.NodeSettings;
 import org.clementinepost.node.settings.NodeSettingsReader;
 import org.clementinepost.node.settings.SettingsFinding;
 import org.clementinepost.node.settings.SettingsReference;
-import org.clementinepost.platform.PlatformService;
-import org.clementinepost.platform.config.source.Finding;
+import org.clementinepost.platform.StoreClient;
+import org.clementinepost.storage.PlatformService;
+import org.clementinepost.storage.config.source.Finding;
 import reactor.core.publisher.Mono;
 import reactor.netty.ChannelBindException;
 
@@ -87,16 +87,15 @@
       settings.getLeft().forEach(finding -> err.println(finding.line()));
       return settings.getLeft().head().code().exitCode();
     }
-    Either<Vector<Finding>, ServiceDefinition<PlatformService.Message>> platform =
-        platform(settings.get());
-    if (platform.isLeft()) {
-      platform.getLeft().forEach(finding -> err.println(line(finding)));
-      return platform.getLeft().head().code().exitCode();
+    Either<Vector<Finding>, Backing> backing = backing(settings.get());
+    if (backing.isLeft()) {
+      backing.getLeft().forEach(finding -> err.println(line(finding)));
+      return backing.getLeft().head().code().exitCode();
     }
     if (line.action() == NodeCommandLine.Action.CHECK) {
       return print("settings are in order");
     }
-    return start(settings.get(), platform.get());
+    return start(settings.get(), backing.get());
   }
 
   private static String line(Finding finding) {
@@ -111,21 +110,25 @@
         + finding.hint();
   }
 
-  private static Either<Vector<Finding>, ServiceDefinition<PlatformService.Message>> platform(
-      NodeSettings settings) {
+  private static Either<Vector<Finding>, Backing> backing(NodeSettings settings) {
+    if (settings.rowStore().isDefined()) {
+      return Either.right(Backing.rowStore(new StoreClient(settings.rowStore().get())));
+    }
     if (settings.platform().isDefined()) {
-      return Either.right(PlatformService.definition(settings.platform().get()));
+      return Either.right(
+          Backing.tableAndObjects(PlatformService.definition(settings.platform().get())));
     }
     return settings
         .embeddedObjectsFolder()
         .map(folder -> EmbeddedPlatform.of(Path.of(folder)))
         .getOrElse(() -> Either.right(EmbeddedPlatform.empty()))
-        .map(PlatformService::definition);
+        .map(PlatformService::definition)
+        .map(Backing::tableAndObjects);
   }
 
-  private int start(NodeSettings settings, ServiceDefinition<PlatformService.Message> platform) {
+  private int start(NodeSettings settings, Backing backing) {
     try {
-      Node node = Node.start(settings, platform, System.currentTimeMillis());
+      Node node = Node.start(settings, backing, System.currentTimeMillis());
       Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "node-stop"));
       NodePorts ports = node.ports().block();
       logger.atInfo().log(
--- a/node/src/main/java/org/clementinepost/node/access/AccessMessage.java
+++ b/node/src/main/java/org/clementinepost/node/access/AccessMessage.java
@@ -5,6 +5,7 @@
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.kernel.Reply;
+import org.clementinepost.node.configuration.Confirmation;
 import org.clementinepost.policy.access.ArrivedRequest;
 
 /** What the access service is told. */
@@ -13,6 +14,9 @@
   record Arrived(ArrivedRequest request, Reply<Either<Failure, RequestHead>> reply)
       implements AccessMessage {}
 
+  /** The configuration in force has been confirmed to be the newest. */
+  record Confirmed(Confirmation confirmation) implements AccessMessage {}
+
   /** A configuration has come into force. */
   record Configured(Snapshot snapshot) implements AccessMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/access/AccessService.java
+++ b/node/src/main/java/org/clementinepost/node/access/AccessService.java
@@ -6,11 +6,13 @@
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.node.configuration.ConfigurationMessage;
 import org.clementinepost.node.configuration.ConfigurationService;
+import org.clementinepost.node.configuration.Confirmation;
 import org.clementinepost.policy.access.AccessPolicy;
 
 /** Holds the snapshot against which each arrived request is checked. */
@@ -21,21 +23,36 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** What clocks that differ and a slow node may take of the time. */
+  private static final long WITHDRAWAL_MARGIN_MILLIS = 400;
+
+  private final MonotonicClock clock;
+  private final long keyWithdrawalMillis;
   private Snapshot snapshot = Snapshot.empty();
+  private Confirmation confirmation = Confirmation.never();
 
-  private AccessService(TaskContext<AccessMessage> context) {
+  private AccessService(TaskContext<AccessMessage> context, long keyWithdrawalMillis) {
+    this.clock = context.clock();
+    this.keyWithdrawalMillis = keyWithdrawalMillis;
     context
         .registry()
         .find(ConfigurationService.NAME)
         .send(
             new ConfigurationMessage.Subscribe(
-                next -> context.self().send(new AccessMessage.Configured(next))));
+                next -> context.self().send(new AccessMessage.Configured(next)),
+                confirmed -> context.self().send(new AccessMessage.Confirmed(confirmed))));
   }
 
-  /** Defines the service. */
-  public static ServiceDefinition<AccessMessage> definition() {
+  /**
+   * Defines the service.
+   *
+   * @param keyWithdrawalMillis when a withdrawn key opens nothing any more; zero sets no limit
+   */
+  public static ServiceDefinition<AccessMessage> definition(long keyWithdrawalMillis) {
     return new ServiceDefinition<>(
-        NAME, ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES, AccessService::new);
+        NAME,
+        ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES,
+        context -> new AccessService(context, keyWithdrawalMillis));
   }
 
   @Override
@@ -44,8 +61,13 @@
       snapshot = configured.snapshot();
       return;
     }
+    if (message instanceof AccessMessage.Confirmed confirmed) {
+      confirmation = confirmed.confirmation();
+      return;
+    }
     AccessMessage.Arrived arrived = (AccessMessage.Arrived) message;
-    Either<Failure, RequestHead> decided = AccessPolicy.decide(snapshot, arrived.request());
+    Either<Failure, RequestHead> decided =
+        AccessPolicy.decide(snapshot, keysConfirmed(), arrived.request());
     logger.atInfo().log(
         "event=access request=%s customer=%s service=%s result=%d version=%d",
         arrived.request().requestId(),
@@ -55,4 +77,9 @@
         snapshot.version());
     arrived.reply().send(decided);
   }
+
+  private boolean keysConfirmed() {
+    return keyWithdrawalMillis == 0
+        || confirmation.ageMillis(clock) < keyWithdrawalMillis - WITHDRAWAL_MARGIN_MILLIS;
+  }
 }
--- a/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
@@ -1,5 +1,7 @@
 package org.clementinepost.node.announce;
 
+import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.ResultCode;
@@ -10,6 +12,7 @@
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.node.host.HostMessage;
 import org.clementinepost.node.host.HostService;
+import org.clementinepost.policy.host.AnnounceProtocol;
 import org.clementinepost.policy.host.Announcement;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -24,27 +27,37 @@
   public static final ServiceName<AnnounceMessage> NAME =
       ServiceName.of("announce", AnnounceMessage.class);
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String JSON = "application/json";
   private static final int ACCEPTED_STATUS = 202;
 
+  /** The protocol of the product itself. */
+  public static final AnnounceProtocol OWN_PROTOCOL =
+      new AnnounceProtocol(AnnouncementReader::read, ACCEPTED_STATUS, "");
+
+  private final AnnounceProtocol protocol;
   private final Address<HostMessage> host;
   private final DisposableServer server;
 
-  private AnnounceService(TaskContext<AnnounceMessage> context, NetworkAddress address) {
+  private AnnounceService(
+      TaskContext<AnnounceMessage> context, NetworkAddress address, AnnounceProtocol protocol) {
+    this.protocol = protocol;
     this.host = context.registry().find(HostService.NAME);
     this.server =
         HttpServer.create()
             .host(address.host())
             .port(address.port())
-            .route(routes -> routes.post("/announce", this::announce))
+            .handle(this::announce)
             .bindNow();
   }
 
   /** Defines the service. */
-  public static ServiceDefinition<AnnounceMessage> definition(NetworkAddress address) {
+  public static ServiceDefinition<AnnounceMessage> definition(
+      NetworkAddress address, AnnounceProtocol protocol) {
     return new ServiceDefinition<>(
         NAME,
         ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
-        context -> new AnnounceService(context, address));
+        context -> new AnnounceService(context, address, protocol));
   }
 
   private Publisher<Void> announce(HttpServerRequest request, HttpServerResponse response) {
@@ -53,7 +66,7 @@
         .aggregate()
         .asByteArray()
         .defaultIfEmpty(new byte[0])
-        .map(AnnouncementReader::read)
+        .map(body -> protocol.reader().read(request.uri(), body))
         .flatMap(
             read ->
                 read.fold(
@@ -65,10 +78,16 @@
     if (!host.send(new HostMessage.Announced(announcement)).accepted()) {
       return refuse(response, Failure.of(ResultCode.NODE_OVERLOADED));
     }
-    return response.status(ACCEPTED_STATUS).send();
+    return response
+        .status(protocol.acknowledgedStatus())
+        .header(HttpHeaderNames.CONTENT_TYPE, JSON)
+        .sendString(Mono.just(protocol.acknowledgement()))
+        .then();
   }
 
   private static Mono<Void> refuse(HttpServerResponse response, Failure failure) {
+    logger.atWarning().log(
+        "event=announcement-refused code=%d detail=%s", failure.code().number(), failure.detail());
     return response
         .status(failure.code().httpStatus())
         .sendString(Mono.just(failure.code().number() + " " + failure.detail() + "\n"))
--- a/node/src/main/java/org/clementinepost/node/announce/AnnouncementReader.java
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnouncementReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import io.vavr.control.Try;
 import java.util.Locale;
 import org.clementinepost.api.BackendServerId;
@@ -17,9 +18,15 @@
   private static final int MAX_SLOTS = 100_000;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  private static final String PATH = "/announce";
+
   private AnnouncementReader() {}
 
-  static Either<Failure, Announcement> read(byte[] json) {
+  static Either<Failure, Announcement> read(String uri, byte[] json) {
+    if (!PATH.equals(uri)) {
+      return Either.left(Failure.of(ResultCode.NO_ROUTE, uri));
+    }
+
     return Try.of(() -> announcement(MAPPER.readTree(json)))
         .toEither()
         .mapLeft(
@@ -36,7 +43,9 @@
         count(node, "connections"),
         Announcement.State.valueOf(text(node, "state").toUpperCase(Locale.ROOT)),
         node.path("uptimeMillis").asLong(),
-        node.path("load").path("busySlots").asInt());
+        node.path("load").path("busySlots").asInt(),
+        0,
+        Option.none());
   }
 
   private static String text(JsonNode node, String field) {
--- a/node/src/main/java/org/clementinepost/node/configuration/ConfigurationMessage.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/ConfigurationMessage.java
@@ -4,11 +4,31 @@
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.kernel.Reply;
+import org.clementinepost.storage.rows.OperatorPage;
 
 /** What the configuration service is told. */
 public sealed interface ConfigurationMessage {
-  /** Asks for every snapshot that comes into force, the one in force first. */
-  record Subscribe(Reply<Snapshot> listener) implements ConfigurationMessage {}
+  /**
+   * Asks for every snapshot that comes into force, the one in force first.
+   *
+   * @param listener takes the snapshots
+   * @param confirmed is told each time when the one in force was confirmed to be the newest
+   */
+  record Subscribe(Reply<Snapshot> listener, Reply<Confirmation> confirmed)
+      implements ConfigurationMessage {
+    /** Asks for snapshots alone. */
+    public Subscribe(Reply<Snapshot> listener) {
+      this(listener, Reply.ignored());
+    }
+  }
+
+  /**
+   * Operators' orders have been read, or have not.
+   *
+   * @param asked when they were asked for
+   */
+  record Read(Confirmation asked, Either<Failure, OperatorPage> page)
+      implements ConfigurationMessage {}
 
   /** It is time to ask the platform. */
   record Poll() implements ConfigurationMessage {}
--- a/node/src/main/java/org/clementinepost/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/ConfigurationService.java
@@ -11,8 +11,8 @@
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
-import org.clementinepost.platform.PlatformService;
-import org.clementinepost.platform.config.ConfigurationStore;
+import org.clementinepost.storage.PlatformService;
+import org.clementinepost.storage.config.ConfigurationStore;
 
 /** Keeps the newest configuration that this node has seen, and tells the other services. */
 public final class ConfigurationService implements Behaviour<ConfigurationMessage> {
--- a/node/src/main/java/org/clementinepost/node/directory/DirectoryMessage.java
+++ b/node/src/main/java/org/clementinepost/node/directory/DirectoryMessage.java
@@ -1,12 +1,16 @@
 package org.clementinepost.node.directory;
 
 import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.api.peer.DirectoryPeerMessage;
 import org.clementinepost.kernel.Reply;
+import org.clementinepost.storage.rows.RowPage;
 
 /** What the directory service is told. */
 public sealed interface DirectoryMessage {
@@ -27,6 +31,22 @@
   /** The fleet has changed. */
   record Members(Vector<Member> others) implements DirectoryMessage {}
 
+  /**
+   * The nodes' table has been read, or has not.
+   *
+   * @param whole whether all rows were asked for rather than changes
+   */
+  record Read(boolean whole, Either<Failure, RowPage> page) implements DirectoryMessage {}
+
+  /** This node's own row has been looked up after a write whose effect is not known. */
+  record OwnRowRead(Either<Failure, RowPage> page) implements DirectoryMessage {}
+
+  /** This node's own row has been written, or has not. */
+  record Written(Option<String> value, Either<Failure, Long> result) implements DirectoryMessage {}
+
+  /** The node is stopping and takes no more work for its backend servers. */
+  record Leave() implements DirectoryMessage {}
+
   /** Time has passed. */
   record Tick() implements DirectoryMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/directory/DirectoryService.java
+++ b/node/src/main/java/org/clementinepost/node/directory/DirectoryService.java
@@ -64,8 +64,14 @@
         .send(
             new MembershipMessage.Subscribe(
                 members -> context.self().send(new DirectoryMessage.Members(members))));
-    return Behaviour.deciding(
-        DirectoryState.of(self), this::event, new DirectoryPolicy(), this::handle);
+    Behaviour<DirectoryMessage> deciding =
+        Behaviour.deciding(
+            DirectoryState.of(self), this::event, new DirectoryPolicy(), this::handle);
+    return message -> {
+      if (!(message instanceof DirectoryMessage.Leave)) {
+        deciding.receive(message);
+      }
+    };
   }
 
   private DirectoryEvent event(DirectoryMessage message) {
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/directory/NodeRow.java
@@ -0,0 +1,98 @@
+package org.clementinepost.node.directory;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Try;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.Member;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+
+/**
+ * What a node writes of itself into the nodes' table.
+ *
+ * @param member the node
+ * @param endpoints the backend servers behind it that take work
+ */
+record NodeRow(Member member, Vector<Endpoint> endpoints) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String INCARNATION = "incarnation";
+  private static final String PEER = "peer";
+  private static final String DOMAIN = "failureDomain";
+  private static final String SERVERS = "servers";
+  private static final String SERVER_ID = "id";
+  private static final String SERVICE = "service";
+  private static final String SLOTS = "slots";
+
+  String json() {
+    ObjectNode root =
+        MAPPER
+            .createObjectNode()
+            .put(INCARNATION, member.incarnation())
+            .put(PEER, member.peerAddress().toString())
+            .put(DOMAIN, member.domain().value());
+    ArrayNode servers = root.putArray(SERVERS);
+    for (Endpoint endpoint : endpoints) {
+      servers
+          .addObject()
+          .put(SERVER_ID, endpoint.server().value())
+          .put(SERVICE, endpoint.service().value())
+          .put(SLOTS, endpoint.slots());
+    }
+    return root.toString();
+  }
+
+  static Either<Failure, NodeRow> read(String key, String json) {
+    return Try.of(() -> row(new NodeId(key), MAPPER.readTree(json)))
+        .toEither()
+        .mapLeft(
+            error ->
+                Failure.of(
+                    ResultCode.PLATFORM_PROTOCOL, key + ": " + String.valueOf(error.getMessage())));
+  }
+
+  private static NodeRow row(NodeId node, JsonNode root) {
+    Member member =
+        new Member(
+            node,
+            whole(root, INCARNATION),
+            NetworkAddress.parse(text(root, PEER)),
+            new FailureDomainId(text(root, DOMAIN)));
+    return new NodeRow(
+        member, Vector.ofAll(root.path(SERVERS)).map(server -> endpoint(member, server)));
+  }
+
+  private static Endpoint endpoint(Member member, JsonNode server) {
+    return new Endpoint(
+        new BackendServerId(text(server, SERVER_ID)),
+        new ServiceId(text(server, SERVICE)),
+        member.node(),
+        member.domain(),
+        (int) whole(server, SLOTS));
+  }
+
+  private static String text(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.isTextual() || value.asText().isEmpty()) {
+      throw new IllegalArgumentException(field + " must be a text");
+    }
+    return value.asText();
+  }
+
+  private static long whole(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.isIntegralNumber()) {
+      throw new IllegalArgumentException(field + " must be a whole number");
+    }
+    return value.asLong();
+  }
+}
--- a/node/src/main/java/org/clementinepost/node/edge/AnswerWriter.java
+++ b/node/src/main/java/org/clementinepost/node/edge/AnswerWriter.java
@@ -3,9 +3,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Locale;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.RequestId;
+import org.clementinepost.api.http.HttpDialect;
 import org.clementinepost.node.exchange.Answer;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -19,26 +22,39 @@
  * that fails ends the connection, so that a cut answer is never taken for a whole one.
  */
 final class AnswerWriter {
-  private static final String REQUEST_ID_HEADER = "clementinepost-request-id";
   private static final String RESULT_HEADER = "clementinepost-result";
   private static final String RUN_HEADER = "clementinepost-run";
   private static final String FLEET_HEADER_PREFIX = "clementinepost-";
   private static final String PROBLEM_JSON = "application/problem+json";
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final long BUSY_RETRY_MILLIS = 300;
+  private static final long QUOTA_RETRY_MILLIS = 500;
+
   private AnswerWriter() {}
 
+  /** When a refused request is worth sending again. */
+  private static Option<Long> retryAfterMillis(Failure failure) {
+    return switch (failure.code().httpStatus()) {
+      case HttpDialect.UNAVAILABLE_STATUS -> Option.some(BUSY_RETRY_MILLIS);
+      case HttpDialect.TOO_MANY_STATUS -> Option.some(QUOTA_RETRY_MILLIS);
+      default -> Option.none();
+    };
+  }
+
   static Publisher<Void> write(
+      HttpDialect dialect,
       RequestId id,
       HttpServerRequest request,
       HttpServerResponse response,
       Either<Failure, Answer> answer) {
-    response.header(REQUEST_ID_HEADER, id.value());
+    response.header(dialect.requestIdHeader(), id.value());
     return answer.fold(
-        failure -> refuse(id, response, failure), whole -> pass(request, response, whole));
+        failure -> refuse(id, response, failure), whole -> pass(dialect, request, response, whole));
   }
 
   private static Publisher<Void> pass(
-      HttpServerRequest request, HttpServerResponse response, Answer answer) {
+      HttpDialect dialect, HttpServerRequest request, HttpServerResponse response, Answer answer) {
     response.status(answer.head().status());
     answer
         .head()
@@ -48,6 +64,7 @@
                 field
                     .name()
                     .regionMatches(true, 0, FLEET_HEADER_PREFIX, 0, FLEET_HEADER_PREFIX.length()))
+        .reject(field -> field.name().equalsIgnoreCase(dialect.requestIdHeader()))
         .forEach(field -> response.addHeader(field.name(), field.value()));
     if (request.method().equals(HttpMethod.HEAD)) {
       return answer.body().then(response.sendHeaders().then());
@@ -58,6 +75,12 @@
   private static Publisher<Void> refuse(
       RequestId id, HttpServerResponse response, Failure failure) {
     String body = Problem.json(id, failure);
+    retryAfterMillis(failure)
+        .forEach(
+            millis ->
+                response.header(
+                    HttpHeaderNames.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.1f", millis / MILLIS_PER_SECOND)));
     return response
         .status(failure.code().httpStatus())
         .header(HttpHeaderNames.CONTENT_TYPE, PROBLEM_JSON)
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeMessage.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeMessage.java
@@ -7,6 +7,9 @@
   /** Asks for the port that was opened. */
   record PortAsked(Reply<Integer> reply) implements EdgeMessage {}
 
+  /** Goes on taking requests, and ends each connection after its answer. */
+  record Farewell() implements EdgeMessage {}
+
   /** Takes no new requests, and tells when those in hand have ended. */
   record Stop(Reply<Boolean> ended) implements EdgeMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -7,6 +7,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.clementinepost.api.Chunk;
@@ -14,6 +15,7 @@
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.RequestId;
+import org.clementinepost.api.http.HttpDialect;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Behaviour;
 import org.clementinepost.kernel.MonotonicClock;
@@ -23,6 +25,7 @@
 import org.clementinepost.node.exchange.Answer;
 import org.clementinepost.node.metrics.MetricsMessage;
 import org.clementinepost.node.metrics.MetricsService;
+import org.clementinepost.node.settings.NodeSettings;
 import org.clementinepost.node.settings.NodeSettings.EdgeLimits;
 import org.clementinepost.policy.access.ArrivedRequest;
 import org.reactivestreams.Publisher;
@@ -45,18 +48,24 @@
   private final Address<MetricsMessage> metrics;
   private final MonotonicClock clock;
   private final EdgeLimits limits;
+  private final HttpDialect dialect;
+  private final RequestReader reader;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final DisposableServer server;
+  private volatile boolean stopping;
   private final String idPrefix;
   private final AtomicLong nextId = new AtomicLong();
 
   private EdgeService(
-      TaskContext<EdgeMessage> context, Member self, NetworkAddress address, EdgeLimits limits) {
+      TaskContext<EdgeMessage> context, Member self, NodeSettings settings, HttpDialect dialect) {
+    NetworkAddress address = settings.ingress();
+    this.dialect = dialect;
+    this.reader = new RequestReader(dialect, settings.localService());
     this.pipeline =
         new RequestPipeline(self.node(), context.clock(), context.scheduler(), context.registry());
     this.metrics = context.registry().find(MetricsService.NAME);
     this.clock = context.clock();
-    this.limits = limits;
+    this.limits = settings.edge();
     this.idPrefix = self.node() + "-" + Long.toString(self.incarnation(), ID_RADIX) + "-";
     this.server =
         HttpServer.create()
@@ -72,25 +81,44 @@
 
   /** Defines the service on a node. */
   public static ServiceDefinition<EdgeMessage> definition(
-      Member self, NetworkAddress address, EdgeLimits limits) {
+      Member self, NodeSettings settings, HttpDialect dialect) {
     return new ServiceDefinition<>(
         NAME,
         ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
-        context -> new EdgeService(context, self, address, limits));
+        context -> new EdgeService(context, self, settings, dialect));
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     long startedNanos = clock.nowNanos();
-    RequestId id = new RequestId(idPrefix + Long.toString(nextId.incrementAndGet(), ID_RADIX));
-    ArrivedRequest arrived = RequestReader.read(id, request);
+    RequestId id = reader.id(request, this::newId);
+    ArrivedRequest arrived = reader.read(id, request, ThreadLocalRandom.current().nextDouble());
     UploadBody body =
         new UploadBody(request.receive().asByteArray().map(Chunk::owning), limits.maxBodyBytes());
     return body.check(arrived.bodyBytes())
         .map(failure -> Mono.just(Either.<Failure, Answer>left(failure)))
-        .getOrElse(() -> pipeline.run(arrived, body))
+        .getOrElse(() -> run(request, arrived, body))
         .flatMap(answer -> write(id, request, response, answer, startedNanos));
   }
 
+  /** A short body is read first, so that the request can be placed again after a refusal. */
+  private Mono<Either<Failure, Answer>> run(
+      HttpServerRequest request, ArrivedRequest arrived, UploadBody body) {
+    boolean gathered =
+        arrived.bodyBytes() > 0 && arrived.bodyBytes() <= UploadBody.MAX_REPEATABLE_BYTES;
+    if (!gathered) {
+      return pipeline.run(arrived, body);
+    }
+    return request
+        .receive()
+        .aggregate()
+        .asByteArray()
+        .flatMap(bytes -> pipeline.run(arrived, UploadBody.repeatable(Chunk.owning(bytes))));
+  }
+
+  private RequestId newId() {
+    return new RequestId(idPrefix + Long.toString(nextId.incrementAndGet(), ID_RADIX));
+  }
+
   private Mono<Void> write(
       RequestId id,
       HttpServerRequest request,
@@ -99,7 +127,10 @@
       long startedNanos) {
     int result = answer.fold(failure -> failure.code().number(), whole -> 0);
     metrics.send(new MetricsMessage.Counted("edge.result." + result));
-    return Flux.from(AnswerWriter.write(id, request, response, answer))
+    if (stopping) {
+      response.keepAlive(false);
+    }
+    return Flux.from(AnswerWriter.write(dialect, id, request, response, answer))
         .doOnError(error -> cut(id, error))
         .doFinally(signal -> metrics.send(timed(startedNanos)))
         .then();
@@ -117,6 +148,10 @@
 
   @Override
   public void receive(EdgeMessage message) {
+    if (message instanceof EdgeMessage.Farewell) {
+      stopping = true;
+      return;
+    }
     if (message instanceof EdgeMessage.Stop stop) {
       stop(stop);
       return;
@@ -125,6 +160,7 @@
   }
 
   private void stop(EdgeMessage.Stop stop) {
+    stopping = true;
     server.dispose();
     server.onDispose().subscribe(nothing -> {}, error -> {}, () -> stop.ended().send(true));
   }
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -47,7 +47,7 @@
  */
 final class RequestPipeline {
   /** What an ingress waits beyond the deadline that the host keeps itself. */
-  private static final long HOST_GRACE_MILLIS = 250;
+  private static final long HOST_GRACE_MILLIS = 20;
 
   private static final Duration LOOK_UP_LIMIT = Duration.ofMillis(2_500);
 
@@ -141,10 +141,11 @@
       long deadlineNanos,
       Either<Failure, Answer> answer) {
     long remainingMillis = remainingMillis(deadlineNanos);
-    if (!mayFollow(head, answer, body.started(), remainingMillis)) {
+    if (!mayFollow(head, tried.size(), answer, body.started(), remainingMillis)) {
       return Mono.just(answer);
     }
-    RequestHead next = head.nextAttempt(head.attempt() + 1, remainingMillis);
+    boolean reached = answer.fold(RetryPolicy::reachedServer, whole -> true);
+    RequestHead next = head.nextAttempt(head.attempt() + (reached ? 1 : 0), remainingMillis);
     return place(next, tried)
         .flatMap(
             placed ->
@@ -158,12 +159,16 @@
   }
 
   private static boolean mayFollow(
-      RequestHead head, Either<Failure, Answer> answer, boolean bodyStarted, long remainingMillis) {
+      RequestHead head,
+      int places,
+      Either<Failure, Answer> answer,
+      boolean bodyStarted,
+      long remainingMillis) {
     return answer.fold(
-        failure -> RetryPolicy.mayTryAgain(head, failure, bodyStarted, remainingMillis),
+        failure -> RetryPolicy.mayTryAgain(head, places, failure, bodyStarted, remainingMillis),
         whole ->
             RetryPolicy.mayReplaceAnswer(
-                head, whole.head().status(), bodyStarted, remainingMillis));
+                head, places, whole.head().status(), bodyStarted, remainingMillis));
   }
 
   /** A refusal of the next attempt does not make the one before not run. */
--- a/node/src/main/java/org/clementinepost/node/edge/RequestReader.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestReader.java
@@ -8,9 +8,12 @@
 import io.vavr.control.Try;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.clementinepost.api.HeaderField;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.RequestId;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.http.HttpDialect;
 import org.clementinepost.node.HopByHopHeaders;
 import org.clementinepost.policy.access.ArrivedRequest;
 import reactor.netty.http.server.HttpServerRequest;
@@ -19,17 +22,33 @@
 final class RequestReader {
   private static final String IDEMPOTENCY_KEY_HEADER = "idempotency-key";
   private static final String FLEET_HEADER_PREFIX = "clementinepost-";
-  private static final String TIMEOUT_HEADER = "clementinepost-timeout-millis";
   private static final Set<String> NOT_PASSED_ON =
       Set.of("authorization", "content-length", "expect");
 
-  private RequestReader() {}
+  private final HttpDialect dialect;
+  private final Option<ServiceId> localService;
+  private final Set<String> notPassedOn;
 
-  static ArrivedRequest read(RequestId id, HttpServerRequest request) {
+  RequestReader(HttpDialect dialect, Option<ServiceId> localService) {
+    this.dialect = dialect;
+    this.localService = localService;
+    this.notPassedOn = dialect.setByTheNode().addAll(NOT_PASSED_ON).toJavaSet();
+  }
+
+  /** The id under which the fleet knows a request: the caller's, where callers name requests. */
+  RequestId id(HttpServerRequest request, Supplier<RequestId> made) {
+    String named = request.requestHeaders().get(dialect.requestIdHeader());
+    return dialect.callersNameRequests() && named != null ? new RequestId(named) : made.get();
+  }
+
+  ArrivedRequest read(RequestId id, HttpServerRequest request, double draw) {
     HttpHeaders headers = request.requestHeaders();
     return new ArrivedRequest(
         id,
         KeyHash.ofAuthorization(headers.get(HttpHeaderNames.AUTHORIZATION)),
+        host(headers),
+        localService,
+        draw,
         request.method().name(),
         request.uri(),
         passedOn(headers),
@@ -38,17 +57,23 @@
         bodyBytes(headers));
   }
 
-  private static Vector<HeaderField> passedOn(HttpHeaders headers) {
+  private static String host(HttpHeaders headers) {
+    String host = headers.get(HttpHeaderNames.HOST, "");
+    int colon = host.indexOf(':');
+    return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+  }
+
+  private Vector<HeaderField> passedOn(HttpHeaders headers) {
     return HopByHopHeaders.strip(headers)
         .reject(field -> isKeptBack(field.name().toLowerCase(Locale.ROOT)));
   }
 
-  private static boolean isKeptBack(String name) {
-    return NOT_PASSED_ON.contains(name) || name.startsWith(FLEET_HEADER_PREFIX);
+  private boolean isKeptBack(String name) {
+    return notPassedOn.contains(name) || name.startsWith(FLEET_HEADER_PREFIX);
   }
 
-  private static Option<Long> timeoutMillis(HttpHeaders headers) {
-    return Option.of(headers.get(TIMEOUT_HEADER))
+  private Option<Long> timeoutMillis(HttpHeaders headers) {
+    return Option.of(headers.get(dialect.timeoutMillisHeader()))
         .flatMap(text -> Try.of(() -> Long.parseLong(text.trim())).toOption())
         .filter(millis -> millis > 0);
   }
--- a/node/src/main/java/org/clementinepost/node/edge/UploadBody.java
+++ b/node/src/main/java/org/clementinepost/node/edge/UploadBody.java
@@ -14,6 +14,9 @@
  * <p>A request whose body has been touched cannot be tried at another backend server.
  */
 final class UploadBody {
+  /** Bodies up to this length are read before the request is placed, and can be sent again. */
+  static final int MAX_REPEATABLE_BYTES = 1 << 20;
+
   private final AtomicBoolean started = new AtomicBoolean();
   private final Flux<Chunk> body;
   private final long maxBytes;
@@ -23,6 +26,16 @@
     this.body = Flux.defer(() -> counted(source));
   }
 
+  private UploadBody(Chunk whole) {
+    this.maxBytes = whole.length();
+    this.body = Flux.just(whole);
+  }
+
+  /** A body that has been read whole, and can be sent any number of times. */
+  static UploadBody repeatable(Chunk whole) {
+    return new UploadBody(whole);
+  }
+
   private Flux<Chunk> counted(Flux<Chunk> source) {
     started.set(true);
     long[] totalBytes = new long[1];
--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -7,8 +7,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
 import java.net.ConnectException;
 import java.net.UnknownHostException;
+import java.time.Duration;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
@@ -16,6 +19,7 @@
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResponseHead;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.http.HttpDialect;
 import org.clementinepost.node.HopByHopHeaders;
 import org.clementinepost.policy.host.Admission;
 import reactor.core.publisher.Flux;
@@ -34,22 +38,22 @@
  * may run once only would run twice.
  */
 final class BackendClient {
-  /** The header by which a backend server says that it has not run a request. */
-  private static final String OUTCOME_HEADER = "clementinepost-outcome";
+  /** Longer answers are passed on while they come. */
+  private static final int MAX_GATHERED_BYTES = 1 << 20;
 
-  private static final String NOT_RUN = "not-run";
-  private static final String TIMEOUT_HEADER = "clementinepost-timeout-millis";
-  private static final String REQUEST_ID_HEADER = "clementinepost-request-id";
-  private static final int UNAVAILABLE_STATUS = 503;
+  private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(4);
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+  private final HttpDialect dialect;
   private final ConnectionProvider connections;
   private final HttpClient client;
 
-  BackendClient(int connectionsPerServer) {
+  BackendClient(int connectionsPerServer, HttpDialect dialect) {
+    this.dialect = dialect;
     connections =
         ConnectionProvider.builder("backend-servers")
             .maxConnections(connectionsPerServer)
+            .maxIdleTime(MAX_IDLE_TIME)
             .lifo()
             .build();
     client =
@@ -63,7 +67,7 @@
 
   Mono<Either<Failure, Answer>> send(Admission admission, RequestHead head, Flux<Chunk> body) {
     return request(admission, head, body)
-        .responseConnection((response, connection) -> answer(admission, response, connection))
+        .responseConnection((response, connection) -> answer(admission, head, response, connection))
         .next()
         .onErrorResume(error -> Mono.just(Either.left(failure(admission, error))));
   }
@@ -72,7 +76,7 @@
       Admission admission, RequestHead head, Flux<Chunk> body) {
     HttpClient.RequestSender sender =
         client
-            .headers(headers -> fill(headers, head))
+            .headers(headers -> fill(headers, admission, head))
             .request(HttpMethod.valueOf(head.method()))
             .uri("http://" + admission.address() + head.uri());
     if (head.bodyBytes() == RequestHead.NO_BODY) {
@@ -81,20 +85,38 @@
     return sender.send((request, outbound) -> outbound.sendByteArray(body.map(Chunk::bytes)));
   }
 
-  private static void fill(HttpHeaders headers, RequestHead head) {
+  private void fill(HttpHeaders headers, Admission admission, RequestHead head) {
     head.headers().forEach(field -> headers.add(field.name(), field.value()));
-    headers.set(REQUEST_ID_HEADER, head.requestId().value());
-    headers.set(TIMEOUT_HEADER, head.timeoutMillis());
+    headers.set(dialect.requestIdHeader(), head.requestId().value());
+    headers.set(dialect.timeoutMillisHeader(), head.timeoutMillis());
+    dialect.expectedServerHeader().forEach(name -> headers.set(name, admission.server().value()));
+    for (String name : dialect.customerHeader()) {
+      head.customer().forEach(customer -> headers.set(name, customer.value()));
+    }
+    for (String name : dialect.callingServiceHeader()) {
+      head.handling().caller().forEach(caller -> headers.set(name, caller.value()));
+    }
     if (head.bodyBytes() > 0) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, head.bodyBytes());
     }
   }
 
-  private static Mono<Either<Failure, Answer>> answer(
-      Admission admission, HttpClientResponse response, Connection connection) {
+  private Mono<Either<Failure, Answer>> answer(
+      Admission admission,
+      RequestHead request,
+      HttpClientResponse response,
+      Connection connection) {
+    HttpHeaders headers = response.responseHeaders();
+    if (isOfAnotherRequest(request, headers)) {
+      connection.dispose();
+      return Mono.just(
+          Either.left(
+              Failure.of(
+                  ResultCode.BACKEND_ANSWER_LOST,
+                  admission.server() + ": answer of another request")));
+    }
     boolean shed =
-        response.status().code() == UNAVAILABLE_STATUS
-            && NOT_RUN.equals(response.responseHeaders().get(OUTCOME_HEADER));
+        dialect.refusals().refused(response.status().code(), name -> Option.of(headers.get(name)));
     Flux<Chunk> body =
         connection
             .inbound()
@@ -109,7 +131,29 @@
     ResponseHead head =
         new ResponseHead(
             response.status().code(), endToEnd(response.responseHeaders()), admission.server(), 0);
-    return Mono.just(Either.right(new Answer(head, body)));
+    if (contentLength(headers) > MAX_GATHERED_BYTES) {
+      return Mono.just(Either.right(new Answer(head, body)));
+    }
+    return gathered(admission, head, body);
+  }
+
+  /** An answer that is whole before its head is passed on can still be replaced by another one. */
+  private static Mono<Either<Failure, Answer>> gathered(
+      Admission admission, ResponseHead head, Flux<Chunk> body) {
+    return body.collectList()
+        .map(chunks -> Either.<Failure, Answer>right(new Answer(head, Flux.fromIterable(chunks))))
+        .onErrorResume(error -> Mono.just(Either.left(failure(admission, error))));
+  }
+
+  private static long contentLength(HttpHeaders headers) {
+    return Try.of(() -> Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH, "0")))
+        .getOrElse(0L);
+  }
+
+  /** A backend server that names the request in its answers may send one twice, or late. */
+  private boolean isOfAnotherRequest(RequestHead request, HttpHeaders headers) {
+    return dialect.callersNameRequests()
+        && !request.requestId().value().equals(headers.get(dialect.requestIdHeader()));
   }
 
   private static Vector<HeaderField> endToEnd(HttpHeaders headers) {
--- a/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
@@ -2,14 +2,18 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.http.HttpDialect;
 import org.clementinepost.kernel.Address;
-import org.clementinepost.kernel.Ask;
 import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.Results;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
@@ -36,27 +40,29 @@
   private final BackendClient client;
   private final Address<HostMessage> host;
 
-  private ExchangeService(TaskContext<ExchangeMessage> context, int connectionsPerServer) {
+  private ExchangeService(
+      TaskContext<ExchangeMessage> context, int connectionsPerServer, HttpDialect dialect) {
     this.context = context;
-    this.client = new BackendClient(connectionsPerServer);
+    this.client = new BackendClient(connectionsPerServer, dialect);
     this.host = context.registry().find(HostService.NAME);
   }
 
   /** Defines the service. */
-  public static ServiceDefinition<ExchangeMessage> definition(int connectionsPerServer) {
+  public static ServiceDefinition<ExchangeMessage> definition(
+      int connectionsPerServer, HttpDialect dialect) {
     return new ServiceDefinition<>(
         NAME,
         ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES,
-        context -> new ExchangeService(context, connectionsPerServer));
+        context -> new ExchangeService(context, connectionsPerServer, dialect));
   }
 
   @Override
   public void receive(ExchangeMessage message) {
     ExchangeMessage.Send send = (ExchangeMessage.Send) message;
-    Mono<Either<Failure, Admission>> admitted =
-        Ask.of(host, reply -> new HostMessage.Admit(send.server(), send.head(), reply));
+    Mono<Either<Failure, Admission>> admitted = askHost(send);
+    long askedNanos = context.clock().nowNanos();
     Mono<Either<Failure, Answer>> answer =
-        Results.then(admitted, admission -> exchange(send, admission));
+        Results.then(admitted, admission -> exchange(send, admission, askedNanos));
     cancellable(send, answer)
         .subscribe(
             send.reply()::send,
@@ -67,15 +73,45 @@
             });
   }
 
+  /** An admission that comes after its request was cancelled is given back at once. */
+  private Mono<Either<Failure, Admission>> askHost(ExchangeMessage.Send send) {
+    return Mono.create(
+        sink -> {
+          AtomicBoolean settled = new AtomicBoolean();
+          sink.onCancel(() -> settled.set(true));
+          Reply<Either<Failure, Admission>> reply =
+              answer -> {
+                if (settled.compareAndSet(false, true)) {
+                  sink.success(answer);
+                  return;
+                }
+                answer.forEach(
+                    unused ->
+                        host.send(new HostMessage.Ended(unused.number(), Option.none(), 0, 0)));
+              };
+          if (!host.send(new HostMessage.Admit(send.server(), send.head(), reply)).accepted()) {
+            reply.send(Either.left(Failure.of(ResultCode.NODE_OVERLOADED)));
+          }
+        });
+  }
+
   /** A request that may run once only runs to its end, whether or not the caller still waits. */
   private static Mono<Either<Failure, Answer>> cancellable(
       ExchangeMessage.Send send, Mono<Either<Failure, Answer>> answer) {
     return send.head().idempotent() ? answer.takeUntilOther(send.cancelled()) : answer;
   }
 
-  private Mono<Either<Failure, Answer>> exchange(ExchangeMessage.Send send, Admission admission) {
-    RequestHead head = send.head();
+  private Mono<Either<Failure, Answer>> exchange(
+      ExchangeMessage.Send send, Admission admission, long askedNanos) {
     ExchangeEnd end = new ExchangeEnd(host, admission, context.clock());
+    long waitedMillis = TimeUnit.NANOSECONDS.toMillis(context.clock().nowNanos() - askedNanos);
+    RequestHead head =
+        send.head().nextAttempt(send.head().attempt(), send.head().timeoutMillis() - waitedMillis);
+    if (head.timeoutMillis() <= 0) {
+      Failure late = Failure.of(ResultCode.HOST_QUEUE_TIMEOUT);
+      end.failed(late);
+      return Mono.just(Either.left(late));
+    }
     return client
         .send(admission, head, send.body())
         .map(answer -> answer.map(whole -> end.watch(whole)))
--- a/node/src/main/java/org/clementinepost/node/host/HostMessage.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostMessage.java
@@ -23,6 +23,9 @@
   record Ended(long admission, Option<Failure> failure, int status, long serverMicros)
       implements HostMessage {}
 
+  /** The node is stopping; tells when the requests in hand have ended. */
+  record Stop(Reply<Boolean> stopped) implements HostMessage {}
+
   /** Time has passed. */
   record Tick() implements HostMessage {}
 
--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -27,7 +27,8 @@
   public static final ServiceName<HostMessage> NAME = ServiceName.of("host", HostMessage.class);
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long TICK_MILLIS = 250;
+  private static final String WAKE_TIMER = "host-wake";
+  private static final long TICK_MILLIS = 1_000;
 
   private HostService() {}
 
@@ -58,7 +59,7 @@
         HostState.empty(),
         message -> event(message, context.clock()),
         new HostPolicy(self.domain()),
-        effect -> handle(effect, self, directory));
+        effect -> handle(effect, self, context, directory));
   }
 
   private static HostEvent event(HostMessage message, MonotonicClock clock) {
@@ -79,10 +80,17 @@
     if (message instanceof HostMessage.Configured configured) {
       return new HostEvent.Configured(configured.snapshot());
     }
+    if (message instanceof HostMessage.Stop stop) {
+      return new HostEvent.Stop(stop.stopped(), clock.nowNanos());
+    }
     return new HostEvent.Tick(clock.nowNanos());
   }
 
-  private static void handle(HostEffect effect, Member self, Address<DirectoryMessage> directory) {
+  private static void handle(
+      HostEffect effect,
+      Member self,
+      TaskContext<HostMessage> context,
+      Address<DirectoryMessage> directory) {
     if (effect instanceof HostEffect.Admitted admitted) {
       logger.atInfo().log(
           "event=admission request=%s attempt=%d server=%s result=%s",
@@ -93,6 +101,21 @@
       admitted.reply().send(admitted.answer());
       return;
     }
+    if (effect instanceof HostEffect.Wake wake) {
+      context
+          .registry()
+          .find(TimerService.NAME)
+          .send(
+              new TimerService.Once(
+                  WAKE_TIMER,
+                  wake.delayMillis(),
+                  () -> context.self().send(new HostMessage.Tick())));
+      return;
+    }
+    if (effect instanceof HostEffect.Stopped done) {
+      done.stopped().send(true);
+      return;
+    }
     HostEffect.Publish publish = (HostEffect.Publish) effect;
     logger.atInfo().log("event=hosted-servers servers=%d", publish.serving().size());
     directory.send(new DirectoryMessage.Hosted(endpoints(publish.serving(), self)));
--- a/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
+++ b/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
@@ -13,11 +13,11 @@
 import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
-import org.clementinepost.platform.PlatformService;
 import org.clementinepost.policy.membership.MembershipEffect;
 import org.clementinepost.policy.membership.MembershipEvent;
 import org.clementinepost.policy.membership.MembershipPolicy;
 import org.clementinepost.policy.membership.MembershipState;
+import org.clementinepost.storage.PlatformService;
 import reactor.core.publisher.Mono;
 
 /** Runs the membership decision on links, the other nodes' messages and the table. */
--- a/node/src/main/java/org/clementinepost/node/membership/Registrations.java
+++ b/node/src/main/java/org/clementinepost/node/membership/Registrations.java
@@ -12,12 +12,12 @@
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.NodeId;
-import org.clementinepost.platform.Item;
-import org.clementinepost.platform.ItemCondition;
-import org.clementinepost.platform.ItemKey;
-import org.clementinepost.platform.ItemWrite;
-import org.clementinepost.platform.TableService;
 import org.clementinepost.policy.membership.StableHash;
+import org.clementinepost.storage.Item;
+import org.clementinepost.storage.ItemCondition;
+import org.clementinepost.storage.ItemKey;
+import org.clementinepost.storage.ItemWrite;
+import org.clementinepost.storage.TableService;
 import reactor.core.publisher.Mono;
 
 /**
--- a/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
+++ b/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
@@ -37,11 +37,16 @@
 
   private final TaskContext<OperatorMessage> context;
   private final Address<MetricsMessage> metrics;
+  private final String readinessPath;
   private final DisposableServer server;
   private NodeStatus status;
 
   private OperatorService(
-      TaskContext<OperatorMessage> context, Member self, NetworkAddress address) {
+      TaskContext<OperatorMessage> context,
+      Member self,
+      NetworkAddress address,
+      String readinessPath) {
+    this.readinessPath = readinessPath;
     this.context = context;
     this.metrics = context.registry().find(MetricsService.NAME);
     this.status = new NodeStatus(self, 0, 0, false);
@@ -62,18 +67,19 @@
   }
 
   /** Defines the service on a node. */
-  public static ServiceDefinition<OperatorMessage> definition(Member self, NetworkAddress address) {
+  public static ServiceDefinition<OperatorMessage> definition(
+      Member self, NetworkAddress address, String readinessPath) {
     return new ServiceDefinition<>(
         NAME,
         ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
-        context -> new OperatorService(context, self, address));
+        context -> new OperatorService(context, self, address, readinessPath));
   }
 
   private void route(HttpServerRoutes routes) {
     routes
         .get(
             "/health", (request, response) -> respond(response, OK_STATUS, TEXT, Mono.just("ok\n")))
-        .get("/ready", (request, response) -> ready(response))
+        .get(readinessPath, (request, response) -> ready(response))
         .get("/status", (request, response) -> status(response))
         .get("/metrics", (request, response) -> metrics(response, TEXT, ScrapeFormat::render))
         .get("/metrics.json", (request, response) -> metrics(response, JSON, JsonFormat::render));
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
@@ -4,7 +4,8 @@
 import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.NodeId;
-import org.clementinepost.platform.PlatformSettings;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.storage.PlatformSettings;
 
 /**
  * What a node is told at its start.
@@ -17,6 +18,10 @@
  * @param operator where operators read its health and metrics
  * @param platform where the platform is; none runs on a platform kept in memory
  * @param embeddedObjectsFolder the objects that a platform kept in memory starts with
+ * @param rowStore where the store of a platform with its own dialect is
+ * @param localService the service that runs on this VM
+ * @param keyWithdrawalMillis when a withdrawn key opens nothing any more; zero sets no limit
+ * @param farewellMillis how long a stopping node goes on taking callers
  * @param connectionsPerServer connections that it opens to one backend server
  * @param edge the limits at the callers' port
  * @param stopTimeoutMillis how long a planned stop waits for requests in hand
@@ -30,6 +35,10 @@
     NetworkAddress operator,
     Option<PlatformSettings> platform,
     Option<String> embeddedObjectsFolder,
+    Option<NetworkAddress> rowStore,
+    Option<ServiceId> localService,
+    long keyWithdrawalMillis,
+    long farewellMillis,
     int connectionsPerServer,
     EdgeLimits edge,
     long stopTimeoutMillis) {
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
@@ -12,7 +12,8 @@
 import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.PlatformSettings;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.storage.PlatformSettings;
 
 /** Reads and checks the settings file. */
 public final class NodeSettingsReader {
@@ -66,6 +67,14 @@
         platform(document),
         Option.some(document.text(SettingsCatalog.PLATFORM_OBJECTS_FOLDER))
             .filter(folder -> !folder.isEmpty()),
+        Option.when(
+            document.has(SettingsCatalog.ROW_STORE_ADDRESS),
+            () -> document.address(SettingsCatalog.ROW_STORE_ADDRESS)),
+        Option.some(document.text(SettingsCatalog.LOCAL_SERVICE))
+            .filter(name -> !name.isEmpty())
+            .map(ServiceId::new),
+        document.number(SettingsCatalog.KEY_WITHDRAWAL),
+        document.number(SettingsCatalog.FAREWELL),
         (int) document.number(SettingsCatalog.CONNECTIONS_PER_SERVER),
         edgeLimits(document),
         document.number(SettingsCatalog.STOP_TIMEOUT));
@@ -80,7 +89,8 @@
   }
 
   private static Option<PlatformSettings> platform(SettingsDocument document) {
-    if (document.flag(SettingsCatalog.PLATFORM_EMBEDDED)) {
+    if (document.flag(SettingsCatalog.PLATFORM_EMBEDDED)
+        || document.has(SettingsCatalog.ROW_STORE_ADDRESS)) {
       return Option.none();
     }
     return Option.some(
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
@@ -53,6 +53,34 @@
           100,
           60_000,
           "How long one request to the platform may take.");
+  static final Setting ROW_STORE_ADDRESS =
+      Setting.optional(
+          "rowStore.address",
+          Kind.ADDRESS,
+          "",
+          "The metadata store of a platform with its own dialect, in place of table and objects.");
+  static final Setting LOCAL_SERVICE =
+      Setting.optional(
+          "localService",
+          Kind.TEXT,
+          "",
+          "The service that runs on this VM, by which backend servers know their callers.");
+  static final Setting KEY_WITHDRAWAL =
+      Setting.number(
+          "keyWithdrawalMillis",
+          "ms",
+          0,
+          0,
+          600_000,
+          "The time after which a withdrawn key opens nothing, also at a node cut off; 0 for any.");
+  static final Setting FAREWELL =
+      Setting.number(
+          "farewellMillis",
+          "ms",
+          300,
+          0,
+          60_000,
+          "How long a stopping node goes on taking callers while they learn that it goes.");
   static final Setting CONNECTIONS_PER_SERVER =
       Setting.number(
           "connectionsPerServer",
@@ -117,6 +145,10 @@
           PLATFORM_TABLE_NAME,
           PLATFORM_BUCKET_NAME,
           PLATFORM_REQUEST_TIMEOUT,
+          ROW_STORE_ADDRESS,
+          LOCAL_SERVICE,
+          KEY_WITHDRAWAL,
+          FAREWELL,
           CONNECTIONS_PER_SERVER,
           MAX_HEADER_BYTES,
           MAX_BODY_BYTES,
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsDocument.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsDocument.java
@@ -93,7 +93,7 @@
   }
 
   private Vector<SettingsFinding> platformFindings() {
-    if (flag(SettingsCatalog.PLATFORM_EMBEDDED)) {
+    if (flag(SettingsCatalog.PLATFORM_EMBEDDED) || has(SettingsCatalog.ROW_STORE_ADDRESS)) {
       return Vector.empty();
     }
     return Vector.of(SettingsCatalog.PLATFORM_TABLE_URL, SettingsCatalog.PLATFORM_OBJECTS_URL)
@@ -103,7 +103,7 @@
                 new SettingsFinding(
                     ResultCode.SETTING_MISSING,
                     setting.path(),
-                    "give a URL, or set platform.embedded for a single node"));
+                    "give a URL or a row store, or set platform.embedded for a single node"));
   }
 
   private Option<JsonNode> value(Setting setting) {
@@ -125,6 +125,10 @@
         .getOrElse(() -> Long.parseLong(setting.fallback().get()));
   }
 
+  boolean has(Setting setting) {
+    return value(setting).isDefined();
+  }
+
   boolean flag(Setting setting) {
     return value(setting).map(JsonNode::asBoolean).getOrElse(false);
   }
--- a/node/src/test/java/org/clementinepost/node/system/ProcessFleet.java
+++ b/node/src/test/java/org/clementinepost/node/system/ProcessFleet.java
@@ -27,9 +27,9 @@
 import org.clementinepost.api.config.Service;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.node.NodeMain;
-import org.clementinepost.platform.HttpPlatform;
-import org.clementinepost.platform.PlatformSettings;
-import org.clementinepost.platform.config.ConfigurationStore;
+import org.clementinepost.storage.HttpPlatform;
+import org.clementinepost.storage.PlatformSettings;
+import org.clementinepost.storage.config.ConfigurationStore;
 import org.clementinepost.testing.backend.BackendServerStandInMain;
 import org.clementinepost.testing.platform.PlatformStandInMain;
 
--- a/policy/src/main/java/org/clementinepost/policy/access/AccessPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/access/AccessPolicy.java
@@ -5,10 +5,14 @@
 import java.util.Set;
 import org.clementinepost.api.CustomerId;
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.Handling;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.config.Customer;
 import org.clementinepost.api.config.Key;
 import org.clementinepost.api.config.Route;
+import org.clementinepost.api.config.RouteRules;
 import org.clementinepost.api.config.Service;
 import org.clementinepost.api.config.Snapshot;
 
@@ -25,15 +29,34 @@
 
   private AccessPolicy() {}
 
-  /** Decides on one request. */
+  /** Decides on one request by a configuration that is known to be current. */
   public static Either<Failure, RequestHead> decide(Snapshot snapshot, ArrivedRequest request) {
+    return decide(snapshot, true, request);
+  }
+
+  /**
+   * Decides on one request.
+   *
+   * @param snapshot the configuration in force
+   * @param keysConfirmed whether the configuration's keys were confirmed of late; a key that may
+   *     have been withdrawn since opens nothing
+   * @param request the request
+   */
+  public static Either<Failure, RequestHead> decide(
+      Snapshot snapshot, boolean keysConfirmed, ArrivedRequest request) {
+    if (snapshot.version() == 0) {
+      return Either.left(Failure.of(ResultCode.CONFIGURATION_UNCONFIRMED, "none yet"));
+    }
     if (!SafePath.isSafe(request.path())) {
       return Either.left(Failure.of(ResultCode.BAD_REQUEST, "path"));
     }
-    Option<Route> route = snapshot.routes().match(request.path());
+    Option<Route> route = snapshot.routes().match(request.host(), request.path());
     if (route.isEmpty()) {
       return Either.left(Failure.of(ResultCode.NO_ROUTE, request.path()));
     }
+    if (!route.get().openToAll() && !keysConfirmed) {
+      return Either.left(Failure.of(ResultCode.CONFIGURATION_UNCONFIRMED, "keys"));
+    }
     return customer(snapshot, route.get(), request)
         .map(customer -> head(snapshot, route.get(), customer, request));
   }
@@ -58,25 +81,44 @@
 
   private static RequestHead head(
       Snapshot snapshot, Route route, Option<CustomerId> customer, ArrivedRequest request) {
-    long limitMillis =
-        snapshot
-            .services()
-            .get(route.service())
-            .map(Service::timeoutMillis)
-            .getOrElse(DEFAULT_TIMEOUT_MILLIS);
+    ServiceId service = route.serviceOf(request.draw());
+    long limitMillis = limitMillis(snapshot, route, service);
     long timeoutMillis =
         request.timeoutMillis().map(asked -> Math.min(asked, limitMillis)).getOrElse(limitMillis);
     return new RequestHead(
         request.requestId(),
         1,
         customer,
-        route.service(),
+        service,
         request.method(),
         request.uri(),
         request.headers(),
-        IDEMPOTENT_METHODS.contains(request.method()),
+        route.rules().repeatable().getOrElse(() -> IDEMPOTENT_METHODS.contains(request.method())),
         request.idempotencyKey(),
         timeoutMillis,
-        request.bodyBytes());
+        request.bodyBytes(),
+        handling(snapshot, route, customer, request));
+  }
+
+  private static long limitMillis(Snapshot snapshot, Route route, ServiceId service) {
+    if (route.rules().timeoutMillis() > 0) {
+      return route.rules().timeoutMillis();
+    }
+    return snapshot
+        .services()
+        .get(service)
+        .map(Service::timeoutMillis)
+        .getOrElse(DEFAULT_TIMEOUT_MILLIS);
+  }
+
+  private static Handling handling(
+      Snapshot snapshot, Route route, Option<CustomerId> customer, ArrivedRequest request) {
+    RouteRules rules = route.rules();
+    int priority =
+        customer
+            .flatMap(snapshot.customers()::get)
+            .flatMap(Customer::priority)
+            .getOrElse(rules.priority());
+    return new Handling(priority, rules.targetMillis(), rules.maxAttempts(), request.caller());
   }
 }
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/AnnounceProtocol.java
@@ -0,0 +1,25 @@
+package org.clementinepost.policy.host;
+
+import io.vavr.control.Either;
+import org.clementinepost.api.Failure;
+
+/**
+ * How backend servers announce themselves.
+ *
+ * @param reader reads an announcement
+ * @param acknowledgedStatus the HTTP status of an acknowledgement
+ * @param acknowledgement its body
+ */
+public record AnnounceProtocol(Reader reader, int acknowledgedStatus, String acknowledgement) {
+  /** Reads an announcement. */
+  @FunctionalInterface
+  public interface Reader {
+    /**
+     * Reads an announcement.
+     *
+     * @param uri the path and query that it was sent to
+     * @param body its body
+     */
+    Either<Failure, Announcement> read(String uri, byte[] body);
+  }
+}
--- a/policy/src/main/java/org/clementinepost/policy/host/Announcement.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/Announcement.java
@@ -1,5 +1,6 @@
 package org.clementinepost.policy.host;
 
+import io.vavr.control.Option;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.ServiceId;
@@ -15,6 +16,8 @@
  * @param state whether it takes new work
  * @param uptimeMillis the time since it started
  * @param busySlots the slots that it reports as busy
+ * @param coldMillis how much longer it is cold; zero when it is warm
+ * @param order its place among the announcements of its address; none is the newest
  */
 public record Announcement(
     BackendServerId server,
@@ -24,7 +27,16 @@
     int connections,
     State state,
     long uptimeMillis,
-    int busySlots) {
+    int busySlots,
+    long coldMillis,
+    Option<AnnouncementOrder> order) {
+
+  private static final NetworkAddress NOWHERE = new NetworkAddress("", 0);
+
+  /** The last word of a backend server, of which nothing but its name need be known. */
+  public static Announcement gone(BackendServerId server, Option<AnnouncementOrder> order) {
+    return new Announcement(server, new ServiceId(""), NOWHERE, 1, 1, State.GONE, 0, 0, 0, order);
+  }
 
   /** Whether a backend server takes new work. */
   public enum State {
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/AnnouncementOrder.java
@@ -0,0 +1,28 @@
+package org.clementinepost.policy.host;
+
+import java.util.Comparator;
+
+/**
+ * The place of an announcement among those of one address.
+ *
+ * <p>Announcements may overtake each other and outlive the process that sent them.
+ *
+ * @param startedMillis when the backend server started, by its own clock
+ * @param number counts its announcements since then
+ */
+public record AnnouncementOrder(long startedMillis, long number)
+    implements Comparable<AnnouncementOrder> {
+  private static final Comparator<AnnouncementOrder> ORDER =
+      Comparator.comparingLong(AnnouncementOrder::startedMillis)
+          .thenComparingLong(AnnouncementOrder::number);
+
+  @Override
+  public int compareTo(AnnouncementOrder other) {
+    return ORDER.compare(this, other);
+  }
+
+  /** The place behind every announcement of the same start. */
+  AnnouncementOrder last() {
+    return new AnnouncementOrder(startedMillis, Long.MAX_VALUE);
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/AnnouncementPolicy.java
@@ -0,0 +1,107 @@
+package org.clementinepost.policy.host;
+
+import io.vavr.collection.Map;
+import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
+import org.clementinepost.api.BackendServerId;
+
+/**
+ * Decides which announcements count.
+ *
+ * <p>An announcement may come late, after its backend server has ended and another has taken its
+ * address; the later start counts, and within a start the higher number.
+ */
+final class AnnouncementPolicy {
+  private static final long LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+  /** Departures that are remembered, so that a late announcement of one brings nothing back. */
+  private static final int MAX_DEPARTED = 64;
+
+  private AnnouncementPolicy() {}
+
+  static HostState announced(HostState state, HostEvent.Announced announced) {
+    Announcement announcement = announced.announcement();
+    if (announcement.state() == Announcement.State.GONE) {
+      return departed(state, announcement);
+    }
+    if (isLate(state, announcement)) {
+      return state;
+    }
+    Map<BackendServerId, HostedServer> others =
+        state.servers().filterValues(server -> !isReplaced(server, announcement));
+    HostedServer next =
+        state
+            .servers()
+            .get(announcement.server())
+            .filter(server -> sameStart(server.announcement(), announcement))
+            .map(server -> server.announced(announcement, announced.nowNanos()))
+            .getOrElse(() -> HostedServer.of(announcement, announced.nowNanos()));
+    return state.withServers(others).withServer(next);
+  }
+
+  private static boolean isLate(HostState state, Announcement announcement) {
+    if (announcement.order().isEmpty()) {
+      return false;
+    }
+    AnnouncementOrder order = announcement.order().get();
+    boolean afterDeparture =
+        state.departed().get(announcement.server()).exists(last -> order.compareTo(last) <= 0);
+    return afterDeparture
+        || state.servers().values().exists(server -> precedes(order, server, announcement));
+  }
+
+  private static boolean precedes(
+      AnnouncementOrder order, HostedServer server, Announcement announcement) {
+    Announcement known = server.announcement();
+    if (known.order().isEmpty()) {
+      return false;
+    }
+    if (known.server().equals(announcement.server())) {
+      return order.compareTo(known.order().get()) <= 0;
+    }
+    return known.address().equals(announcement.address())
+        && order.startedMillis() < known.order().get().startedMillis();
+  }
+
+  /** A backend server that announces itself at an address has replaced whoever had it. */
+  private static boolean isReplaced(HostedServer server, Announcement announcement) {
+    return announcement.order().isDefined()
+        && server.announcement().address().equals(announcement.address())
+        && !server.announcement().server().equals(announcement.server());
+  }
+
+  private static boolean sameStart(Announcement known, Announcement next) {
+    return known
+        .order()
+        .map(AnnouncementOrder::startedMillis)
+        .equals(next.order().map(AnnouncementOrder::startedMillis));
+  }
+
+  private static HostState departed(HostState state, Announcement announcement) {
+    BackendServerId id = announcement.server();
+    Option<AnnouncementOrder> known =
+        state.servers().get(id).flatMap(server -> server.announcement().order());
+    boolean ofEarlierStart =
+        announcement.order().exists(order -> known.exists(k -> order.compareTo(k) < 0));
+    if (ofEarlierStart) {
+      return state;
+    }
+    HostState without = state.withServers(state.servers().remove(id));
+    Option<AnnouncementOrder> last = announcement.order().orElse(known);
+    if (last.isEmpty()) {
+      return without;
+    }
+    Map<BackendServerId, AnnouncementOrder> kept =
+        state.departed().size() < MAX_DEPARTED
+            ? state.departed()
+            : state.departed().toVector().sortBy(entry -> entry._2).tail().toMap(entry -> entry);
+    return without.withDeparted(kept.put(id, last.get().last()));
+  }
+
+  static HostState expired(HostState state, long nowNanos) {
+    return state.withServers(
+        state
+            .servers()
+            .filterValues(server -> nowNanos - server.announcedNanos() < LIFETIME_NANOS));
+  }
+}
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
@@ -19,4 +19,10 @@
 
   /** The backend servers that take work have changed. */
   record Publish(Vector<Announcement> serving) implements HostEffect {}
+
+  /** Requests wait, and time is to be told soon. */
+  record Wake(long delayMillis) implements HostEffect {}
+
+  /** A stopping host has nothing left to do. */
+  record Stopped(Reply<Boolean> stopped) implements HostEffect {}
 }
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
@@ -34,6 +34,13 @@
       long admission, Option<Failure> failure, int status, long serverMicros, long nowNanos)
       implements HostEvent {}
 
+  /**
+   * The node is stopping.
+   *
+   * @param stopped is told when nothing is left to do
+   */
+  record Stop(Reply<Boolean> stopped, long nowNanos) implements HostEvent {}
+
   /** Time has passed. */
   record Tick(long nowNanos) implements HostEvent {}
 
--- a/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
@@ -1,14 +1,7 @@
 package org.clementinepost.policy.host;
 
-import io.vavr.collection.Map;
 import io.vavr.collection.Vector;
-import io.vavr.control.Either;
-import io.vavr.control.Option;
-import java.util.concurrent.TimeUnit;
-import org.clementinepost.api.BackendServerId;
-import org.clementinepost.api.Failure;
 import org.clementinepost.api.FailureDomainId;
-import org.clementinepost.api.ResultCode;
 import org.clementinepost.kernel.Decision;
 import org.clementinepost.kernel.Step;
 
@@ -19,108 +12,60 @@
  * node is cut off from the others.
  */
 public final class HostPolicy implements Decision<HostState, HostEvent, HostEffect> {
-  private static final long ANNOUNCEMENT_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(4);
+  /** How soon those that wait are looked at again. */
+  private static final long WAKE_MILLIS = 50;
 
   private final FailureDomainId domain;
+  private final AdmissionPolicy admissions;
 
   public HostPolicy(FailureDomainId domain) {
     this.domain = domain;
+    this.admissions = new AdmissionPolicy(domain);
   }
 
   @Override
   public Step<HostState, HostEffect> decide(HostState state, HostEvent event) {
     if (event instanceof HostEvent.Admit admit) {
-      return admit(state, admit);
+      return woken(admissions.admit(state, admit));
     }
     if (event instanceof HostEvent.Ended ended) {
-      return Step.to(ended(state, ended.admission()));
+      return settled(admissions.proceed(state.ended(ended.admission()), ended.nowNanos()));
     }
     if (event instanceof HostEvent.Announced announced) {
-      return published(state, announced(state, announced));
+      HostState next = AnnouncementPolicy.announced(state, announced);
+      return published(state, admissions.proceed(next, announced.nowNanos()));
     }
     if (event instanceof HostEvent.Tick tick) {
-      return published(state, expired(state, tick.nowNanos()));
+      HostState next = AnnouncementPolicy.expired(state, tick.nowNanos());
+      return woken(published(state, admissions.proceed(next, tick.nowNanos())));
     }
-    return published(state, state.withSnapshot(((HostEvent.Configured) event).snapshot()));
-  }
-
-  private Step<HostState, HostEffect> admit(HostState state, HostEvent.Admit admit) {
-    Either<Failure, HostedServer> server = admissible(state, admit.server());
-    if (server.isLeft()) {
-      return Step.to(state, answer(admit, Either.left(server.getLeft())));
+    if (event instanceof HostEvent.Stop stop) {
+      HostState next = state.withStopped(stop.stopped());
+      return settled(published(state, admissions.proceed(next, stop.nowNanos())));
     }
-    HostedServer next = server.get().withBusySlots(server.get().busySlots() + 1);
-    Admission admission =
-        new Admission(state.nextAdmission(), admit.server(), next.announcement().address());
-    HostState admitted =
-        new HostState(
-            state.servers().put(admit.server(), next),
-            state.admissions().put(admission.number(), admit.server()),
-            state.nextAdmission() + 1,
-            state.snapshot());
-    return Step.to(admitted, answer(admit, Either.right(admission)));
+    return published(state, Step.to(state.withSnapshot(((HostEvent.Configured) event).snapshot())));
   }
 
-  private Either<Failure, HostedServer> admissible(HostState state, BackendServerId server) {
-    Option<HostedServer> hosted = state.servers().get(server);
-    if (hosted.isEmpty()) {
-      return Either.left(Failure.of(ResultCode.NO_BACKEND_SERVER, server.value()));
-    }
-    if (!hosted.get().takesWork() || state.snapshot().isDrained(server)) {
-      return Either.left(Failure.of(ResultCode.BACKEND_SERVER_DRAINING, server.value()));
-    }
-    if (!state.snapshot().domainInService(domain)) {
-      return Either.left(Failure.of(ResultCode.FAILURE_DOMAIN_OUT, domain.value()));
-    }
-    if (hosted.get().busySlots() >= hosted.get().announcement().slots()) {
-      return Either.left(Failure.of(ResultCode.HOST_QUEUE_FULL, server.value()));
-    }
-    return Either.right(hosted.get());
-  }
-
-  private static HostEffect answer(HostEvent.Admit admit, Either<Failure, Admission> answer) {
-    return new HostEffect.Admitted(admit.server(), admit.head(), answer, admit.reply());
-  }
-
-  private static HostState ended(HostState state, long admission) {
-    Option<BackendServerId> server = state.admissions().get(admission);
-    Option<HostedServer> hosted = server.flatMap(state.servers()::get);
-    Map<BackendServerId, HostedServer> servers =
-        hosted.isEmpty()
-            ? state.servers()
-            : state
-                .servers()
-                .put(server.get(), hosted.get().withBusySlots(hosted.get().busySlots() - 1));
-    return new HostState(
-        servers, state.admissions().remove(admission), state.nextAdmission(), state.snapshot());
-  }
-
-  private static HostState announced(HostState state, HostEvent.Announced announced) {
-    Announcement announcement = announced.announcement();
-    if (announcement.state() == Announcement.State.GONE) {
-      return state.withServers(state.servers().remove(announcement.server()));
-    }
-    int busySlots =
-        state.servers().get(announcement.server()).map(HostedServer::busySlots).getOrElse(0);
-    return state.withServer(new HostedServer(announcement, announced.nowNanos(), busySlots));
+  /** Asks for a tick while requests wait. */
+  private static Step<HostState, HostEffect> woken(Step<HostState, HostEffect> step) {
+    return step.state().waiting().isEmpty() ? step : step.with(new HostEffect.Wake(WAKE_MILLIS));
   }
 
-  private static HostState expired(HostState state, long nowNanos) {
-    return state.withServers(
-        state
-            .servers()
-            .filterValues(
-                server -> nowNanos - server.announcedNanos() < ANNOUNCEMENT_LIFETIME_NANOS));
+  /** Tells once a stopping host has nothing left to do. */
+  private static Step<HostState, HostEffect> settled(Step<HostState, HostEffect> step) {
+    boolean done = step.state().stopped().isDefined() && step.state().admissions().isEmpty();
+    return done ? step.with(new HostEffect.Stopped(step.state().stopped().get())) : step;
   }
 
-  private Step<HostState, HostEffect> published(HostState before, HostState after) {
-    Vector<Announcement> serving = serving(after);
+  private Step<HostState, HostEffect> published(
+      HostState before, Step<HostState, HostEffect> step) {
+    Vector<Announcement> serving = serving(step.state());
     boolean same = placements(serving).equals(placements(serving(before)));
-    return same ? Step.to(after) : Step.to(after, new HostEffect.Publish(serving));
+    return same ? step : step.with(new HostEffect.Publish(serving));
   }
 
   private Vector<Announcement> serving(HostState state) {
-    if (!state.snapshot().domainInService(domain)) {
+    if (!state.snapshot().domainInService(domain) || state.stopped().isDefined()) {
       return Vector.empty();
     }
     return state
--- a/policy/src/main/java/org/clementinepost/policy/routing/RetryPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RetryPolicy.java
@@ -13,7 +13,9 @@
  * service's {@link RetryBudget} has the last word when the next attempt is placed.
  */
 public final class RetryPolicy {
-  private static final int MAX_ATTEMPTS = 3;
+  /** Places that a request may ask before it is refused, whether or not any has sent it on. */
+  private static final int MAX_PLACES = 6;
+
   private static final long MIN_REMAINING_MILLIS = 5;
   private static final int INTERNAL_ERROR_STATUS = 500;
   private static final int BAD_GATEWAY_STATUS = 502;
@@ -21,17 +23,25 @@
 
   private RetryPolicy() {}
 
+  /** Whether a failed attempt may have reached a backend server, if only to be shed there. */
+  public static boolean reachedServer(Failure failure) {
+    return failure.runState() != RunState.NOT_RUN
+        || failure.code() == ResultCode.BACKEND_SERVER_SHED;
+  }
+
   /**
    * Decides on one failed attempt.
    *
    * @param head the request at the attempt that failed
+   * @param places the places that have been asked
    * @param failure how it failed
    * @param bodyStarted whether its body has been touched
    * @param remainingMillis the time left until the deadline
    */
   public static boolean mayTryAgain(
-      RequestHead head, Failure failure, boolean bodyStarted, long remainingMillis) {
-    if (!hasRoom(head, bodyStarted, remainingMillis) || isFinal(failure.code())) {
+      RequestHead head, int places, Failure failure, boolean bodyStarted, long remainingMillis) {
+    boolean spent = reachedServer(failure) && !mayReachAnother(head);
+    if (spent || !hasRoom(places, bodyStarted, remainingMillis) || isFinal(failure.code())) {
       return false;
     }
     if (failure.runState() == RunState.NOT_RUN) {
@@ -44,21 +54,29 @@
    * Decides on an answer by which a backend server tells of an error of its own.
    *
    * @param head the request at the attempt that was answered
+   * @param places the places that have been asked
    * @param status the status of the answer
    * @param bodyStarted whether the request's body has been touched
    * @param remainingMillis the time left until the deadline
    */
   public static boolean mayReplaceAnswer(
-      RequestHead head, int status, boolean bodyStarted, long remainingMillis) {
+      RequestHead head, int places, int status, boolean bodyStarted, long remainingMillis) {
     boolean serverError =
         status == INTERNAL_ERROR_STATUS
             || status == BAD_GATEWAY_STATUS
             || status == UNAVAILABLE_STATUS;
-    return serverError && head.idempotent() && hasRoom(head, bodyStarted, remainingMillis);
+    return serverError
+        && head.idempotent()
+        && mayReachAnother(head)
+        && hasRoom(places, bodyStarted, remainingMillis);
+  }
+
+  private static boolean mayReachAnother(RequestHead head) {
+    return head.attempt() < head.handling().maxAttempts();
   }
 
-  private static boolean hasRoom(RequestHead head, boolean bodyStarted, long remainingMillis) {
-    return head.attempt() < MAX_ATTEMPTS && remainingMillis >= MIN_REMAINING_MILLIS && !bodyStarted;
+  private static boolean hasRoom(int places, boolean bodyStarted, long remainingMillis) {
+    return places < MAX_PLACES && remainingMillis >= MIN_REMAINING_MILLIS && !bodyStarted;
   }
 
   private static boolean isFinal(ResultCode code) {
--- a/policy/src/test/java/org/clementinepost/policy/ArchitectureTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/ArchitectureTest.java
@@ -24,7 +24,7 @@
               "org.msgpack..",
               "com.fasterxml..",
               "org.clementinepost.wire..",
-              "org.clementinepost.platform..",
+              "org.clementinepost.storage..",
               "org.clementinepost.node..");
 
   @ArchTest
--- a/policy/src/test/java/org/clementinepost/policy/access/AccessPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/access/AccessPolicyTest.java
@@ -89,10 +89,24 @@
   @Test
   void aRequestThatNoRouteMatchesIsRefused() {
     Either<Failure, RequestHead> decided =
-        AccessPolicy.decide(Snapshot.empty(), request("GET", "/a", "aa"));
+        AccessPolicy.decide(Snapshot.empty().withVersion(1), request("GET", "/a", "aa"));
     assertThat(decided.getLeft().code()).isEqualTo(ResultCode.NO_ROUTE);
   }
 
+  @Test
+  void aNodeWithoutAConfigurationDeniesNoRoute() {
+    assertThat(AccessPolicy.decide(Snapshot.empty(), request("GET", "/a", "aa")).getLeft().code())
+        .isEqualTo(ResultCode.CONFIGURATION_UNCONFIRMED);
+  }
+
+  @Test
+  void aKeyThatMayHaveBeenWithdrawnOpensNothingAndAnOpenRouteStaysOpen() {
+    assertThat(AccessPolicy.decide(SNAPSHOT, false, request("GET", "/a", "aa")).getLeft().code())
+        .isEqualTo(ResultCode.CONFIGURATION_UNCONFIRMED);
+    assertThat(AccessPolicy.decide(SNAPSHOT, false, request("GET", "/status", null)).isRight())
+        .isTrue();
+  }
+
   @Test
   void aDotSegmentDoesNotLeaveAnOpenRoute() {
     assertThat(decide("/status/../a", null).getLeft().code()).isEqualTo(ResultCode.BAD_REQUEST);
--- a/platform/src/main/java/org/clementinepost/platform/HttpExchange.java
+++ b/storage/src/main/java/org/clementinepost/storage/HttpExchange.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelOption;
--- a/platform/src/main/java/org/clementinepost/platform/HttpObjectStore.java
+++ b/storage/src/main/java/org/clementinepost/storage/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
--- a/platform/src/main/java/org/clementinepost/platform/HttpPlatform.java
+++ b/storage/src/main/java/org/clementinepost/storage/HttpPlatform.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage;
 
 import reactor.core.Disposable;
 
--- a/platform/src/main/java/org/clementinepost/platform/HttpTableService.java
+++ b/storage/src/main/java/org/clementinepost/storage/HttpTableService.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
@@ -6,11 +6,11 @@
 import java.util.function.Function;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.HeaderField;
-import org.clementinepost.platform.protocol.QueryPage;
-import org.clementinepost.platform.protocol.TableAnswerCodec;
-import org.clementinepost.platform.protocol.TableErrorCodec;
-import org.clementinepost.platform.protocol.TableRequest;
-import org.clementinepost.platform.protocol.TableRequestCodec;
+import org.clementinepost.storage.protocol.QueryPage;
+import org.clementinepost.storage.protocol.TableAnswerCodec;
+import org.clementinepost.storage.protocol.TableErrorCodec;
+import org.clementinepost.storage.protocol.TableRequest;
+import org.clementinepost.storage.protocol.TableRequestCodec;
 import reactor.core.publisher.Mono;
 
 /**
--- a/platform/src/main/java/org/clementinepost/platform/ItemCondition.java
+++ b/storage/src/main/java/org/clementinepost/storage/ItemCondition.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage;
 
 /** What must hold of an item for a write to take effect. */
 public sealed interface ItemCondition {
--- a/platform/src/main/java/org/clementinepost/platform/ItemKey.java
+++ b/storage/src/main/java/org/clementinepost/storage/ItemKey.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage;
 
 /**
  * The key of one item of the table.
--- a/platform/src/main/java/org/clementinepost/platform/config/ConfigurationEdit.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/ConfigurationEdit.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import io.vavr.control.Either;
 import org.clementinepost.api.Failure;
--- a/platform/src/main/java/org/clementinepost/platform/config/ConfigurationEditor.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/ConfigurationEditor.java
@@ -1,12 +1,12 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.Platform;
-import org.clementinepost.platform.config.check.ConfigurationChecker;
-import org.clementinepost.platform.config.source.Finding;
+import org.clementinepost.storage.Platform;
+import org.clementinepost.storage.config.check.ConfigurationChecker;
+import org.clementinepost.storage.config.source.Finding;
 import reactor.core.publisher.Mono;
 
 /**
--- a/platform/src/main/java/org/clementinepost/platform/config/ConfigurationPublisher.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/ConfigurationPublisher.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
@@ -10,9 +10,9 @@
 import org.clementinepost.api.config.Delta;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.kernel.Results;
-import org.clementinepost.platform.ItemCondition;
-import org.clementinepost.platform.ItemWrite;
-import org.clementinepost.platform.Platform;
+import org.clementinepost.storage.ItemCondition;
+import org.clementinepost.storage.ItemWrite;
+import org.clementinepost.storage.Platform;
 import reactor.core.publisher.Mono;
 
 /**
--- a/platform/src/main/java/org/clementinepost/platform/config/ConfigurationStore.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
@@ -8,8 +8,8 @@
 import org.clementinepost.api.config.Delta;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.kernel.Results;
-import org.clementinepost.platform.Item;
-import org.clementinepost.platform.Platform;
+import org.clementinepost.storage.Item;
+import org.clementinepost.storage.Platform;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/platform/src/main/java/org/clementinepost/platform/config/Documents.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/Documents.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/platform/src/main/java/org/clementinepost/platform/config/Publication.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/Publication.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 /**
  * One version that was published.
--- a/platform/src/main/java/org/clementinepost/platform/config/PublicationItem.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/PublicationItem.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -6,8 +6,8 @@
 import java.util.Locale;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.Item;
-import org.clementinepost.platform.ItemKey;
+import org.clementinepost.storage.Item;
+import org.clementinepost.storage.ItemKey;
 
 /** Writes and reads publications as items of the table: the head, and a row for each version. */
 final class PublicationItem {
--- a/platform/src/main/java/org/clementinepost/platform/config/PublishOutcome.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/PublishOutcome.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import io.vavr.collection.SortedSet;
 import org.clementinepost.api.Failure;
--- a/platform/src/main/java/org/clementinepost/platform/config/Update.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/Update.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import io.vavr.collection.Vector;
 import org.clementinepost.api.config.Delta;
--- a/platform/src/main/java/org/clementinepost/platform/config/check/AmbiguousRoute.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/AmbiguousRoute.java
@@ -1,12 +1,12 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import io.vavr.collection.Vector;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.ObjectKind;
 import org.clementinepost.api.config.RouteTable;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.SourceObject;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.SourceObject;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /** Finds routes with the same path prefix: the longest prefix wins, so none of them would. */
 final class AmbiguousRoute implements ConfigurationCheck {
--- a/platform/src/main/java/org/clementinepost/platform/config/check/BadValue.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/BadValue.java
@@ -1,11 +1,11 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import io.vavr.collection.Vector;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.config.source.FieldSchema;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.SourceObject;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.FieldSchema;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.SourceObject;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /** Finds values of another type, in another unit or out of their bounds. */
 final class BadValue implements ConfigurationCheck {
--- a/platform/src/main/java/org/clementinepost/platform/config/check/BrokenReference.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/BrokenReference.java
@@ -1,14 +1,14 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.Tuple;
 import io.vavr.Tuple2;
 import io.vavr.collection.Vector;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.Reference;
-import org.clementinepost.platform.config.source.SourceObject;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.Reference;
+import org.clementinepost.storage.config.source.SourceObject;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /** Finds fields that name an object which is not in the set. */
 final class BrokenReference implements ConfigurationCheck {
--- a/platform/src/main/java/org/clementinepost/platform/config/check/ConfigurationCheck.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/ConfigurationCheck.java
@@ -1,8 +1,8 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import io.vavr.collection.Vector;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /** Looks for one kind of problem in a set of objects. */
 @FunctionalInterface
--- a/platform/src/main/java/org/clementinepost/platform/config/check/ConfigurationChecker.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/ConfigurationChecker.java
@@ -1,11 +1,11 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.config.source.ConfigurationFolder;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.ConfigurationFolder;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /** Runs every check, so that operators see all findings at once. */
 public final class ConfigurationChecker {
--- a/platform/src/main/java/org/clementinepost/platform/config/check/DuplicateKeyHash.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/DuplicateKeyHash.java
@@ -1,11 +1,11 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import io.vavr.collection.Vector;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.ObjectKind;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.SourceObject;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.SourceObject;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /** Finds keys with the same hash: a caller's key would stand for either customer. */
 final class DuplicateKeyHash implements ConfigurationCheck {
--- a/platform/src/main/java/org/clementinepost/platform/config/check/NothingFound.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/NothingFound.java
@@ -1,9 +1,9 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import io.vavr.collection.Vector;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /** Finds a set without objects: publishing it would take every route out of service. */
 final class NothingFound implements ConfigurationCheck {
--- a/platform/src/main/java/org/clementinepost/platform/config/check/UnknownField.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/UnknownField.java
@@ -1,12 +1,12 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import io.vavr.collection.Vector;
 import java.util.regex.Pattern;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.config.source.FieldSchema;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.SourceObject;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.FieldSchema;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.SourceObject;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /** Finds fields that no object of the kind has, often a known field with another unit. */
 final class UnknownField implements ConfigurationCheck {
--- a/platform/src/main/java/org/clementinepost/platform/config/check/UnreachableFloor.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/check/UnreachableFloor.java
@@ -1,13 +1,13 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.collection.Map;
 import io.vavr.collection.Vector;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.ObjectKind;
-import org.clementinepost.platform.config.source.Finding;
-import org.clementinepost.platform.config.source.SourceObject;
-import org.clementinepost.platform.config.source.SourceSet;
+import org.clementinepost.storage.config.source.Finding;
+import org.clementinepost.storage.config.source.SourceObject;
+import org.clementinepost.storage.config.source.SourceSet;
 
 /**
  * Finds floors that cannot be met.
--- a/platform/src/main/java/org/clementinepost/platform/config/source/ConfigurationFolder.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/source/ConfigurationFolder.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config.source;
+package org.clementinepost.storage.config.source;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.collection.Vector;
@@ -12,7 +12,7 @@
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.ObjectKind;
-import org.clementinepost.platform.config.Documents;
+import org.clementinepost.storage.config.Documents;
 
 /**
  * Reads a folder of operators' files.
--- a/platform/src/main/java/org/clementinepost/platform/config/source/FieldSchema.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/source/FieldSchema.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config.source;
+package org.clementinepost.storage.config.source;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Locale;
--- a/platform/src/main/java/org/clementinepost/platform/config/source/Finding.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/source/Finding.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config.source;
+package org.clementinepost.storage.config.source;
 
 import java.util.Comparator;
 import org.clementinepost.api.ResultCode;
--- a/platform/src/main/java/org/clementinepost/platform/config/source/FolderEdit.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/source/FolderEdit.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config.source;
+package org.clementinepost.storage.config.source;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -12,8 +12,8 @@
 import org.clementinepost.api.config.ConfigurationObject;
 import org.clementinepost.api.config.Delta;
 import org.clementinepost.api.config.ObjectRef;
-import org.clementinepost.platform.config.Documents;
-import org.clementinepost.platform.config.ObjectJson;
+import org.clementinepost.storage.config.Documents;
+import org.clementinepost.storage.config.ObjectJson;
 
 /**
  * Writes published changes into a folder's files.
--- a/platform/src/main/java/org/clementinepost/platform/config/source/ObjectSchema.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/source/ObjectSchema.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config.source;
+package org.clementinepost.storage.config.source;
 
 import io.vavr.collection.Map;
 import io.vavr.collection.Vector;
--- a/platform/src/main/java/org/clementinepost/platform/config/source/SourceSet.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/source/SourceSet.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config.source;
+package org.clementinepost.storage.config.source;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -11,8 +11,8 @@
 import org.clementinepost.api.config.ObjectKind;
 import org.clementinepost.api.config.ObjectRef;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.config.Documents;
-import org.clementinepost.platform.config.ObjectJson;
+import org.clementinepost.storage.config.Documents;
+import org.clementinepost.storage.config.ObjectJson;
 
 /**
  * All objects that are checked and published together.
--- a/platform/src/main/java/org/clementinepost/platform/config/source/package-info.java
+++ b/storage/src/main/java/org/clementinepost/storage/config/source/package-info.java
@@ -1,2 +1,2 @@
 /** Operators' files and the objects in them, as they were written. */
-package org.clementinepost.platform.config.source;
+package org.clementinepost.storage.config.source;
--- /dev/null
+++ b/storage/src/main/java/org/clementinepost/storage/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's table service and object store, as the fleet uses them. */
+package org.clementinepost.storage;
--- a/platform/src/main/java/org/clementinepost/platform/protocol/ItemJson.java
+++ b/storage/src/main/java/org/clementinepost/storage/protocol/ItemJson.java
@@ -1,10 +1,10 @@
-package org.clementinepost.platform.protocol;
+package org.clementinepost.storage.protocol;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.clementinepost.platform.Item;
-import org.clementinepost.platform.ItemKey;
+import org.clementinepost.storage.Item;
+import org.clementinepost.storage.ItemKey;
 
 /** Items and keys as attribute maps, in which each value stands under its type. */
 final class ItemJson {
--- a/platform/src/main/java/org/clementinepost/platform/protocol/Json.java
+++ b/storage/src/main/java/org/clementinepost/storage/protocol/Json.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.protocol;
+package org.clementinepost.storage.protocol;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/org/clementinepost/platform/protocol/QueryPage.java
+++ b/storage/src/main/java/org/clementinepost/storage/protocol/QueryPage.java
@@ -1,8 +1,8 @@
-package org.clementinepost.platform.protocol;
+package org.clementinepost.storage.protocol;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import org.clementinepost.platform.Item;
+import org.clementinepost.storage.Item;
 
 /**
  * One page of a query's answer.
--- a/platform/src/main/java/org/clementinepost/platform/protocol/TableAnswerCodec.java
+++ b/storage/src/main/java/org/clementinepost/storage/protocol/TableAnswerCodec.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.protocol;
+package org.clementinepost.storage.protocol;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -7,8 +7,8 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.clementinepost.api.Failure;
-import org.clementinepost.platform.Item;
-import org.clementinepost.platform.ItemKey;
+import org.clementinepost.storage.Item;
+import org.clementinepost.storage.ItemKey;
 
 /** Encodes and decodes the answers of the table service that carry no error. */
 public final class TableAnswerCodec {
--- a/platform/src/main/java/org/clementinepost/platform/protocol/TableRequest.java
+++ b/storage/src/main/java/org/clementinepost/storage/protocol/TableRequest.java
@@ -1,9 +1,9 @@
-package org.clementinepost.platform.protocol;
+package org.clementinepost.storage.protocol;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import org.clementinepost.platform.ItemKey;
-import org.clementinepost.platform.ItemWrite;
+import org.clementinepost.storage.ItemKey;
+import org.clementinepost.storage.ItemWrite;
 
 /** A request to the table service, apart from its encoding. */
 public sealed interface TableRequest {
--- a/platform/src/main/java/org/clementinepost/platform/protocol/TableRequestCodec.java
+++ b/storage/src/main/java/org/clementinepost/storage/protocol/TableRequestCodec.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.protocol;
+package org.clementinepost.storage.protocol;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -7,9 +7,9 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.clementinepost.api.Failure;
-import org.clementinepost.platform.ItemCondition;
-import org.clementinepost.platform.ItemKey;
-import org.clementinepost.platform.ItemWrite;
+import org.clementinepost.storage.ItemCondition;
+import org.clementinepost.storage.ItemKey;
+import org.clementinepost.storage.ItemWrite;
 
 /** Encodes requests as the bodies of the table service's JSON protocol, and decodes them. */
 public final class TableRequestCodec {
--- a/platform/src/main/java/org/clementinepost/platform/protocol/package-info.java
+++ b/storage/src/main/java/org/clementinepost/storage/protocol/package-info.java
@@ -1,2 +1,2 @@
 /** The JSON of the table service's protocol, for its clients and for stand-ins of the platform. */
-package org.clementinepost.platform.protocol;
+package org.clementinepost.storage.protocol;
--- /dev/null
+++ b/storage/src/main/java/org/clementinepost/storage/rows/OperatorFeed.java
@@ -0,0 +1,19 @@
+package org.clementinepost.storage.rows;
+
+import io.vavr.control.Either;
+import org.clementinepost.api.Failure;
+import reactor.core.publisher.Mono;
+
+/** Reads what operators order, and follows it. */
+public interface OperatorFeed {
+  /** Reads all that holds. */
+  Mono<Either<Failure, OperatorPage>> read();
+
+  /**
+   * Waits for changes.
+   *
+   * @param version the version up to which changes are known
+   * @param waitMillis how long to wait for one; an empty page comes then
+   */
+  Mono<Either<Failure, OperatorPage>> changesSince(long version, long waitMillis);
+}
--- a/platform/src/test/java/org/clementinepost/platform/HttpExchangeTest.java
+++ b/storage/src/test/java/org/clementinepost/storage/HttpExchangeTest.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/platform/src/test/java/org/clementinepost/platform/config/ConfigurationPublisherTest.java
+++ b/storage/src/test/java/org/clementinepost/storage/config/ConfigurationPublisherTest.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -9,8 +9,8 @@
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.Customer;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.ItemWrite;
-import org.clementinepost.platform.Platform;
+import org.clementinepost.storage.ItemWrite;
+import org.clementinepost.storage.Platform;
 import org.junit.jupiter.api.Test;
 
 /** Races between operators, lost answers, and what is never lost by them. */
--- a/platform/src/test/java/org/clementinepost/platform/config/ConfigurationStoreTest.java
+++ b/storage/src/test/java/org/clementinepost/storage/config/ConfigurationStoreTest.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/platform/src/test/java/org/clementinepost/platform/config/FaultyPlatform.java
+++ b/storage/src/test/java/org/clementinepost/storage/config/FaultyPlatform.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config;
+package org.clementinepost.storage.config;
 
 import io.vavr.collection.Queue;
 import io.vavr.collection.Vector;
@@ -8,12 +8,12 @@
 import java.util.function.Supplier;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.InMemoryPlatform;
-import org.clementinepost.platform.Item;
-import org.clementinepost.platform.ItemKey;
-import org.clementinepost.platform.ItemWrite;
-import org.clementinepost.platform.Platform;
-import org.clementinepost.platform.TableService;
+import org.clementinepost.storage.InMemoryPlatform;
+import org.clementinepost.storage.Item;
+import org.clementinepost.storage.ItemKey;
+import org.clementinepost.storage.ItemWrite;
+import org.clementinepost.storage.Platform;
+import org.clementinepost.storage.TableService;
 import reactor.core.publisher.Mono;
 
 /** A platform in memory whose next writes or reads of the table meet faults, one after another. */
--- a/platform/src/test/java/org/clementinepost/platform/config/check/ConfigurationCheckerTest.java
+++ b/storage/src/test/java/org/clementinepost/storage/config/check/ConfigurationCheckerTest.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config.check;
+package org.clementinepost.storage.config.check;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -10,8 +10,8 @@
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.platform.config.source.ConfigurationFolder;
-import org.clementinepost.platform.config.source.Finding;
+import org.clementinepost.storage.config.source.ConfigurationFolder;
+import org.clementinepost.storage.config.source.Finding;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
--- a/platform/src/test/java/org/clementinepost/platform/config/source/FolderEditTest.java
+++ b/storage/src/test/java/org/clementinepost/storage/config/source/FolderEditTest.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.config.source;
+package org.clementinepost.storage.config.source;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/platform/src/test/java/org/clementinepost/platform/protocol/TableCodecTest.java
+++ b/storage/src/test/java/org/clementinepost/storage/protocol/TableCodecTest.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform.protocol;
+package org.clementinepost.storage.protocol;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -6,10 +6,10 @@
 import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.Item;
-import org.clementinepost.platform.ItemCondition;
-import org.clementinepost.platform.ItemKey;
-import org.clementinepost.platform.ItemWrite;
+import org.clementinepost.storage.Item;
+import org.clementinepost.storage.ItemCondition;
+import org.clementinepost.storage.ItemKey;
+import org.clementinepost.storage.ItemWrite;
 import org.junit.jupiter.api.Test;
 
 /** Compares with the documents of the published protocol. */
--- a/testing/src/main/java/org/clementinepost/testing/platform/ObjectEndpoint.java
+++ b/testing/src/main/java/org/clementinepost/testing/platform/ObjectEndpoint.java
@@ -1,7 +1,7 @@
 package org.clementinepost.testing.platform;
 
 import io.vavr.control.Option;
-import org.clementinepost.platform.ObjectStore;
+import org.clementinepost.storage.ObjectStore;
 import reactor.core.publisher.Mono;
 
 /** Answers the object store's requests. */
--- a/testing/src/main/java/org/clementinepost/testing/platform/StandInAnswer.java
+++ b/testing/src/main/java/org/clementinepost/testing/platform/StandInAnswer.java
@@ -3,7 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.platform.protocol.TableErrorCodec;
+import org.clementinepost.storage.protocol.TableErrorCodec;
 
 /** An answer of the stand-in, apart from the HTTP library. */
 @SuppressWarnings("ArrayRecordComponent") // The bytes go straight to the socket.
--- a/testing/src/main/java/org/clementinepost/testing/platform/TableEndpoint.java
+++ b/testing/src/main/java/org/clementinepost/testing/platform/TableEndpoint.java
@@ -4,11 +4,11 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.clementinepost.api.Failure;
-import org.clementinepost.platform.Item;
-import org.clementinepost.platform.TableService;
-import org.clementinepost.platform.protocol.QueryPage;
-import org.clementinepost.platform.protocol.TableAnswerCodec;
-import org.clementinepost.platform.protocol.TableRequest;
+import org.clementinepost.storage.Item;
+import org.clementinepost.storage.TableService;
+import org.clementinepost.storage.protocol.QueryPage;
+import org.clementinepost.storage.protocol.TableAnswerCodec;
+import org.clementinepost.storage.protocol.TableRequest;
 import reactor.core.publisher.Mono;
 
 /** Answers the table's requests; a page ends early, as those of the real service do. */
--- a/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
+++ b/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
@@ -5,6 +5,7 @@
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.CustomerId;
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.Handling;
 import org.clementinepost.api.HeaderField;
 import org.clementinepost.api.HostReport;
 import org.clementinepost.api.RequestHead;
@@ -75,6 +76,7 @@
     Fields.writeOption(packer, head.idempotencyKey(), MessagePacker::packString);
     packer.packLong(head.timeoutMillis());
     packer.packLong(head.bodyBytes());
+    write(packer, head.handling());
   }
 
   private static StreamMessage.Open readOpen(MessageUnpacker unpacker) throws IOException {
@@ -92,10 +94,26 @@
             unpacker.unpackBoolean(),
             Fields.readOption(unpacker, MessageUnpacker::unpackString),
             unpacker.unpackLong(),
-            unpacker.unpackLong());
+            unpacker.unpackLong(),
+            readHandling(unpacker));
     return new StreamMessage.Open(streamId, server, head);
   }
 
+  private static void write(MessagePacker packer, Handling handling) throws IOException {
+    packer.packInt(handling.priority());
+    packer.packLong(handling.targetMillis());
+    packer.packInt(handling.maxAttempts());
+    Fields.writeOption(packer, handling.caller(), (p, caller) -> p.packString(caller.value()));
+  }
+
+  private static Handling readHandling(MessageUnpacker unpacker) throws IOException {
+    return new Handling(
+        unpacker.unpackInt(),
+        unpacker.unpackLong(),
+        unpacker.unpackInt(),
+        Fields.readOption(unpacker, u -> new ServiceId(u.unpackString())));
+  }
+
   private static void write(MessagePacker packer, StreamMessage.Answered answered)
       throws IOException {
     ResponseHead head = answered.head();
