--- a/api/src/main/java/org/clementinepost/api/Handling.java
+++ b/api/src/main/java/org/clementinepost/api/Handling.java
@@ -9,8 +9,15 @@
  * @param targetMillis the time within which an answer is worth most; zero without one
  * @param maxAttempts backend servers that it may be sent to
  * @param caller the service that runs on the VM where the request began
+ * @param lastResort whether no other place would take it, so that a backend server that fails is
+ *     better than none
  */
-public record Handling(int priority, long targetMillis, int maxAttempts, Option<ServiceId> caller) {
+public record Handling(
+    int priority,
+    long targetMillis,
+    int maxAttempts,
+    Option<ServiceId> caller,
+    boolean lastResort) {
   /** The rank of a request that nobody has ranked. */
   public static final int LOWEST_PRIORITY = 1_000;
 
@@ -18,10 +25,10 @@
 
   /** A request that no route says more about. */
   public static final Handling DEFAULT =
-      new Handling(LOWEST_PRIORITY, 0, DEFAULT_MAX_ATTEMPTS, Option.none());
+      new Handling(LOWEST_PRIORITY, 0, DEFAULT_MAX_ATTEMPTS, Option.none(), false);
 
-  /** The same handling for a request that began beside a service. */
-  public Handling from(Option<ServiceId> callingService) {
-    return new Handling(priority, targetMillis, maxAttempts, callingService);
+  /** The same handling for a request that no other place would take. */
+  public Handling asLastResort() {
+    return new Handling(priority, targetMillis, maxAttempts, caller, true);
   }
 }
--- a/api/src/main/java/org/clementinepost/api/RequestHead.java
+++ b/api/src/main/java/org/clementinepost/api/RequestHead.java
@@ -67,6 +67,23 @@
         Handling.DEFAULT);
   }
 
+  /** The same request with another handling. */
+  public RequestHead with(Handling next) {
+    return new RequestHead(
+        requestId,
+        attempt,
+        customer,
+        service,
+        method,
+        uri,
+        headers,
+        idempotent,
+        idempotencyKey,
+        timeoutMillis,
+        bodyBytes,
+        next);
+  }
+
   /** The same request on its next attempt, with the time that is left. */
   public RequestHead nextAttempt(int nextAttempt, long remainingMillis) {
     return new RequestHead(
--- a/api/src/main/java/org/clementinepost/api/ResultCode.java
+++ b/api/src/main/java/org/clementinepost/api/ResultCode.java
@@ -37,6 +37,8 @@
   IDEMPOTENCY_KEY_IN_USE(
       3007, 409, 30, RunState.NOT_RUN, "A request with this idempotency key has been started"),
   BACKEND_CONNECT_FAILED(3008, 502, 30, RunState.NOT_RUN, "No connection to the backend server"),
+  BACKEND_SERVER_FAILING(
+      3009, 503, 30, RunState.NOT_RUN, "The host holds back a backend server that fails"),
   BACKEND_ANSWER_LOST(3101, 502, 31, RunState.UNKNOWN, "The backend server's answer was lost"),
   BACKEND_TIMED_OUT(3102, 504, 31, RunState.UNKNOWN, "No answer came before the deadline"),
 
--- a/node/src/main/java/org/clementinepost/node/Backing.java
+++ b/node/src/main/java/org/clementinepost/node/Backing.java
@@ -11,11 +11,13 @@
 import org.clementinepost.node.directory.DirectoryService;
 import org.clementinepost.node.directory.TableDirectoryService;
 import org.clementinepost.node.membership.MembershipService;
+import org.clementinepost.node.quota.QuotaService;
 import org.clementinepost.platform.HeartbeatFormat;
 import org.clementinepost.platform.OperatorTable;
 import org.clementinepost.platform.PlatformDialect;
 import org.clementinepost.platform.StoreClient;
 import org.clementinepost.policy.host.AnnounceProtocol;
+import org.clementinepost.policy.quota.EmergencyAllowance;
 import org.clementinepost.storage.PlatformService;
 
 /**
@@ -39,18 +41,20 @@
                 platform,
                 ConfigurationService.definition(),
                 MembershipService.definition(self),
-                DirectoryService.definition(self)),
+                DirectoryService.definition(self),
+                QuotaService.unlimited()),
         HttpDialect.OWN,
         AnnounceService.OWN_PROTOCOL);
   }
 
   /** A store that tells of changes, with the fleet known from one of its tables. */
-  static Backing rowStore(StoreClient store) {
+  static Backing rowStore(StoreClient store, EmergencyAllowance tolerance) {
     return new Backing(
         self ->
             Vector.of(
                 WatchedConfigurationService.definition(new OperatorTable(store)),
-                TableDirectoryService.definition(self, store)),
+                TableDirectoryService.definition(self, store),
+                QuotaService.definition(self, store, tolerance)),
         PlatformDialect.DIALECT,
         HeartbeatFormat.PROTOCOL);
   }
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -9,6 +9,7 @@
 import org.clementinepost.api.peer.HostReportMessage;
 import org.clementinepost.api.peer.MembershipPeerMessage;
 import org.clementinepost.api.peer.PeerMessage;
+import org.clementinepost.api.peer.QuotaPeerMessage;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Kernel;
 import org.clementinepost.kernel.Registry;
@@ -31,6 +32,8 @@
 import org.clementinepost.node.peer.ControlReceiver;
 import org.clementinepost.node.peer.PeerListener;
 import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.quota.QuotaService;
+import org.clementinepost.node.quota.QuotaServiceMessage;
 import org.clementinepost.node.routing.RoutingMessage;
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.node.settings.NodeSettings;
@@ -108,6 +111,9 @@
     if (message instanceof DirectoryPeerMessage directory) {
       registry.find(DirectoryService.NAME).send(new DirectoryMessage.FromPeer(from, directory));
     }
+    if (message instanceof QuotaPeerMessage quota) {
+      registry.find(QuotaService.NAME).send(new QuotaServiceMessage.FromPeer(from, quota));
+    }
     if (message instanceof HostReportMessage report) {
       registry.find(RoutingService.NAME).send(new RoutingMessage.HostReported(from, report));
     }
@@ -148,6 +154,7 @@
     kernel.find(OperatorService.NAME).send(new OperatorMessage.Stopping());
     kernel.find(MembershipService.NAME).send(new MembershipMessage.Leave());
     kernel.find(DirectoryService.NAME).send(new DirectoryMessage.Leave());
+    kernel.find(QuotaService.NAME).send(new QuotaServiceMessage.Leave());
     kernel.find(EdgeService.NAME).send(new EdgeMessage.Farewell());
     Mono<Boolean> hostEmpty = ask(kernel.find(HostService.NAME), HostMessage.Stop::new);
     Mono<Boolean> edgeEmpty = ask(kernel.find(EdgeService.NAME), EdgeMessage.Stop::new);
--- a/node/src/main/java/org/clementinepost/node/NodeMain.java
+++ b/node/src/main/java/org/clementinepost/node/NodeMain.java
@@ -112,7 +112,8 @@
 
   private static Either<Vector<Finding>, Backing> backing(NodeSettings settings) {
     if (settings.rowStore().isDefined()) {
-      return Either.right(Backing.rowStore(new StoreClient(settings.rowStore().get())));
+      return Either.right(
+          Backing.rowStore(new StoreClient(settings.rowStore().get()), settings.quotaTolerance()));
     }
     if (settings.platform().isDefined()) {
       return Either.right(
--- a/node/src/main/java/org/clementinepost/node/access/AccessService.java
+++ b/node/src/main/java/org/clementinepost/node/access/AccessService.java
@@ -2,13 +2,14 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
+import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.kernel.Behaviour;
-import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.kernel.SuspendProofClock;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.node.configuration.ConfigurationMessage;
 import org.clementinepost.node.configuration.ConfigurationService;
@@ -26,13 +27,13 @@
   /** What clocks that differ and a slow node may take of the time. */
   private static final long WITHDRAWAL_MARGIN_MILLIS = 400;
 
-  private final MonotonicClock clock;
+  private final SuspendProofClock clock;
   private final long keyWithdrawalMillis;
   private Snapshot snapshot = Snapshot.empty();
   private Confirmation confirmation = Confirmation.never();
 
   private AccessService(TaskContext<AccessMessage> context, long keyWithdrawalMillis) {
-    this.clock = context.clock();
+    this.clock = new SuspendProofClock(context.clock());
     this.keyWithdrawalMillis = keyWithdrawalMillis;
     context
         .registry()
@@ -78,8 +79,11 @@
     arrived.reply().send(decided);
   }
 
+  private long ageMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - confirmation.atNanos());
+  }
+
   private boolean keysConfirmed() {
-    return keyWithdrawalMillis == 0
-        || confirmation.ageMillis(clock) < keyWithdrawalMillis - WITHDRAWAL_MARGIN_MILLIS;
+    return keyWithdrawalMillis == 0 || ageMillis() < keyWithdrawalMillis - WITHDRAWAL_MARGIN_MILLIS;
   }
 }
--- a/node/src/main/java/org/clementinepost/node/configuration/WatchedConfigurationService.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/WatchedConfigurationService.java
@@ -14,6 +14,7 @@
 import org.clementinepost.kernel.Behaviour;
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.SuspendProofClock;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
 import org.clementinepost.storage.rows.OperatorChange;
@@ -36,6 +37,7 @@
   private static final long RETRY_MILLIS = 250;
 
   private final TaskContext<ConfigurationMessage> context;
+  private final SuspendProofClock clock;
   private final OperatorFeed feed;
   private Option<Long> followed = Option.none();
   private Snapshot published = Snapshot.empty();
@@ -48,6 +50,7 @@
   private WatchedConfigurationService(
       TaskContext<ConfigurationMessage> context, OperatorFeed feed) {
     this.context = context;
+    this.clock = new SuspendProofClock(context.clock());
     this.feed = feed;
     ask();
   }
@@ -61,7 +64,7 @@
   }
 
   private void ask() {
-    Confirmation asked = Confirmation.now(context.clock());
+    Confirmation asked = new Confirmation(clock.nowNanos());
     Mono<Either<Failure, OperatorPage>> answer =
         followed.map(version -> feed.changesSince(version, WAIT_MILLIS)).getOrElse(feed::read);
     answer.subscribe(page -> context.self().send(new ConfigurationMessage.Read(asked, page)));
--- a/node/src/main/java/org/clementinepost/node/directory/TableDirectoryService.java
+++ b/node/src/main/java/org/clementinepost/node/directory/TableDirectoryService.java
@@ -22,6 +22,8 @@
 import org.clementinepost.node.operator.OperatorService;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
+import org.clementinepost.node.quota.QuotaService;
+import org.clementinepost.node.quota.QuotaServiceMessage;
 import org.clementinepost.node.routing.RoutingMessage;
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.storage.rows.Row;
@@ -40,6 +42,10 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String TABLE = "nodes";
   private static final long WAIT_MILLIS = 8_000;
+
+  /** Rows change many at a time, and one answer may tell of them all. */
+  private static final long GATHER_MILLIS = 700;
+
   private static final long RETRY_MILLIS = 500;
 
   private record Known(NodeRow row, long version) {}
@@ -130,15 +136,19 @@
     }
     // What was written while the store was away is not known until the table is read anew.
     followed = Option.none();
+    followAfter(RETRY_MILLIS);
+    return null;
+  }
+
+  private void followAfter(long delayMillis) {
     context
         .registry()
         .find(TimerService.NAME)
         .send(
             new TimerService.Once(
                 DirectoryService.NAME.text(),
-                RETRY_MILLIS,
+                delayMillis,
                 () -> context.self().send(new DirectoryMessage.Tick())));
-    return null;
   }
 
   private Void read(boolean whole, RowPage page) {
@@ -154,7 +164,11 @@
     page.rows().forEach(this::row);
     tell();
     writeIfNeeded();
-    follow();
+    if (page.rows().isEmpty()) {
+      follow();
+      return null;
+    }
+    followAfter(GATHER_MILLIS);
     return null;
   }
 
@@ -188,6 +202,10 @@
     Vector<Member> members = others.values().map(known -> known.row().member()).toVector();
     context.registry().find(PeerService.NAME).send(new PeerServiceMessage.Members(members));
     context.registry().find(OperatorService.NAME).send(new OperatorMessage.Members(members));
+    context
+        .registry()
+        .find(QuotaService.NAME)
+        .send(new QuotaServiceMessage.Members(members.size() + 1));
     Map<ServiceId, Vector<Endpoint>> now =
         others
             .values()
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -30,6 +30,8 @@
 import org.clementinepost.node.exchange.Exchanges;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
+import org.clementinepost.node.quota.QuotaService;
+import org.clementinepost.node.quota.QuotaServiceMessage;
 import org.clementinepost.node.routing.HostReports;
 import org.clementinepost.node.routing.RoutingMessage;
 import org.clementinepost.node.routing.RoutingService;
@@ -55,6 +57,7 @@
   private final MonotonicClock clock;
   private final Scheduler scheduler;
   private final Address<AccessMessage> access;
+  private final Address<QuotaServiceMessage> quota;
   private final Address<RoutingMessage> routing;
   private final Address<DirectoryMessage> directory;
   private final Address<ExchangeMessage> exchanges;
@@ -65,6 +68,7 @@
     this.clock = clock;
     this.scheduler = scheduler;
     this.access = registry.find(AccessService.NAME);
+    this.quota = registry.find(QuotaService.NAME);
     this.routing = registry.find(RoutingService.NAME);
     this.directory = registry.find(DirectoryService.NAME);
     this.exchanges = registry.find(ExchangeService.NAME);
@@ -75,8 +79,24 @@
   Mono<Either<Failure, Answer>> run(ArrivedRequest request, UploadBody body) {
     Mono<Either<Failure, RequestHead>> admitted =
         Ask.of(access, reply -> new AccessMessage.Arrived(request, reply));
+    return Results.then(admitted, head -> withinQuota(head, body, deadlineNanos(head)));
+  }
+
+  private Mono<Either<Failure, Answer>> withinQuota(
+      RequestHead head, UploadBody body, long deadlineNanos) {
+    if (head.customer().isEmpty()) {
+      return attempt(head, body, HashSet.empty(), deadlineNanos);
+    }
+    Mono<Either<Failure, RequestHead>> granted =
+        Ask.of(quota, reply -> new QuotaServiceMessage.Take(head, reply));
     return Results.then(
-        admitted, head -> attempt(head, body, HashSet.empty(), deadlineNanos(head)));
+        granted,
+        allowed ->
+            attempt(
+                allowed.nextAttempt(allowed.attempt(), remainingMillis(deadlineNanos)),
+                body,
+                HashSet.empty(),
+                deadlineNanos));
   }
 
   private long deadlineNanos(RequestHead head) {
@@ -142,7 +162,7 @@
       Either<Failure, Answer> answer) {
     long remainingMillis = remainingMillis(deadlineNanos);
     if (!mayFollow(head, tried.size(), answer, body.started(), remainingMillis)) {
-      return Mono.just(answer);
+      return lastResort(head, body, deadlineNanos, answer);
     }
     boolean reached = answer.fold(RetryPolicy::reachedServer, whole -> true);
     RequestHead next = head.nextAttempt(head.attempt() + (reached ? 1 : 0), remainingMillis);
@@ -150,7 +170,7 @@
         .flatMap(
             placed ->
                 placed.fold(
-                    nobody -> Mono.just(answer),
+                    nobody -> lastResort(head, body, deadlineNanos, answer),
                     placement -> {
                       answer.forEach(Answer::discard);
                       return attempt(next, body, tried, deadlineNanos, placement)
@@ -158,6 +178,27 @@
                     }));
   }
 
+  /** A backend server that fails most requests is still better than none. */
+  private Mono<Either<Failure, Answer>> lastResort(
+      RequestHead head, UploadBody body, long deadlineNanos, Either<Failure, Answer> answer) {
+    boolean heldBack =
+        answer.isLeft()
+            && answer.getLeft().code() == ResultCode.BACKEND_SERVER_FAILING
+            && !head.handling().lastResort();
+    if (!heldBack || body.started() || remainingMillis(deadlineNanos) <= 0) {
+      return Mono.just(answer);
+    }
+    RequestHead last =
+        head.nextAttempt(head.attempt(), remainingMillis(deadlineNanos))
+            .with(head.handling().asLastResort());
+    return place(last, HashSet.empty())
+        .flatMap(
+            placed ->
+                placed.fold(
+                    nobody -> Mono.just(answer),
+                    placement -> attempt(last, body, HashSet.empty(), deadlineNanos, placement)));
+  }
+
   private static boolean mayFollow(
       RequestHead head,
       int places,
--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -68,7 +68,7 @@
   Mono<Either<Failure, Answer>> send(Admission admission, RequestHead head, Flux<Chunk> body) {
     return request(admission, head, body)
         .responseConnection((response, connection) -> answer(admission, head, response, connection))
-        .next()
+        .singleOrEmpty()
         .onErrorResume(error -> Mono.just(Either.left(failure(admission, error))));
   }
 
--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -101,6 +101,15 @@
       admitted.reply().send(admitted.answer());
       return;
     }
+    if (effect instanceof HostEffect.Judged judged) {
+      logger.atWarning().log(
+          "event=server-health server=%s suspected=%s status=%d code=%d",
+          judged.server(),
+          judged.suspected(),
+          judged.cause().status(),
+          judged.cause().failure().map(failure -> failure.code().number()).getOrElse(0));
+      return;
+    }
     if (effect instanceof HostEffect.Wake wake) {
       context
           .registry()
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/quota/SeatRow.java
@@ -0,0 +1,28 @@
+package org.clementinepost.node.quota;
+
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.policy.quota.Seat;
+
+/** The text in which the seat's row names its keeper. */
+final class SeatRow {
+  static final String TABLE = "quota";
+  static final String KEY = "seat";
+
+  private SeatRow() {}
+
+  static String text(Seat seat) {
+    return seat.incarnation() + " " + seat.node().value();
+  }
+
+  static Option<Seat> read(String text) {
+    int space = text.indexOf(' ');
+    return Try.of(
+            () ->
+                new Seat(
+                    new NodeId(text.substring(space + 1)),
+                    Long.parseLong(text.substring(0, space))))
+        .toOption();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/quota/package-info.java
@@ -0,0 +1,2 @@
+/** The tokens of customers' rates and bursts. */
+package org.clementinepost.node.quota;
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
@@ -5,6 +5,7 @@
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.ServiceId;
+import org.clementinepost.policy.quota.EmergencyAllowance;
 import org.clementinepost.storage.PlatformSettings;
 
 /**
@@ -21,6 +22,7 @@
  * @param rowStore where the store of a platform with its own dialect is
  * @param localService the service that runs on this VM
  * @param keyWithdrawalMillis when a withdrawn key opens nothing any more; zero sets no limit
+ * @param quotaTolerance how far the fleet may exceed a customer's rate and burst
  * @param farewellMillis how long a stopping node goes on taking callers
  * @param connectionsPerServer connections that it opens to one backend server
  * @param edge the limits at the callers' port
@@ -38,6 +40,7 @@
     Option<NetworkAddress> rowStore,
     Option<ServiceId> localService,
     long keyWithdrawalMillis,
+    EmergencyAllowance quotaTolerance,
     long farewellMillis,
     int connectionsPerServer,
     EdgeLimits edge,
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
@@ -13,6 +13,7 @@
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
+import org.clementinepost.policy.quota.EmergencyAllowance;
 import org.clementinepost.storage.PlatformSettings;
 
 /** Reads and checks the settings file. */
@@ -74,6 +75,10 @@
             .filter(name -> !name.isEmpty())
             .map(ServiceId::new),
         document.number(SettingsCatalog.KEY_WITHDRAWAL),
+        new EmergencyAllowance(
+            document.decimal(SettingsCatalog.QUOTA_TOLERATED_SHARE),
+            document.number(SettingsCatalog.QUOTA_TOLERATED_REQUESTS),
+            document.number(SettingsCatalog.QUOTA_WINDOW)),
         document.number(SettingsCatalog.FAREWELL),
         (int) document.number(SettingsCatalog.CONNECTIONS_PER_SERVER),
         edgeLimits(document),
--- a/node/src/main/java/org/clementinepost/node/settings/Setting.java
+++ b/node/src/main/java/org/clementinepost/node/settings/Setting.java
@@ -28,7 +28,8 @@
     ADDRESS,
     URL,
     FLAG,
-    NUMBER
+    NUMBER,
+    SHARE
   }
 
   static Setting required(String path, Kind kind, String meaning) {
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
@@ -73,6 +73,28 @@
           0,
           600_000,
           "The time after which a withdrawn key opens nothing, also at a node cut off; 0 for any.");
+  static final Setting QUOTA_TOLERATED_SHARE =
+      Setting.optional(
+          "quota.toleratedShare",
+          Kind.SHARE,
+          "0",
+          "The part of a customer's rate and burst that the fleet may exceed them by, 0 to 1.");
+  static final Setting QUOTA_TOLERATED_REQUESTS =
+      Setting.number(
+          "quota.toleratedRequests",
+          "requests",
+          0,
+          0,
+          1_000_000,
+          "The requests that the fleet may exceed a customer's rate and burst by besides.");
+  static final Setting QUOTA_WINDOW =
+      Setting.number(
+          "quota.windowSeconds",
+          "s",
+          5,
+          1,
+          3_600,
+          "The time over which a customer's requests are counted against its rate and burst.");
   static final Setting FAREWELL =
       Setting.number(
           "farewellMillis",
@@ -148,6 +170,9 @@
           ROW_STORE_ADDRESS,
           LOCAL_SERVICE,
           KEY_WITHDRAWAL,
+          QUOTA_TOLERATED_SHARE,
+          QUOTA_TOLERATED_REQUESTS,
+          QUOTA_WINDOW,
           FAREWELL,
           CONNECTIONS_PER_SERVER,
           MAX_HEADER_BYTES,
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsDocument.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsDocument.java
@@ -65,6 +65,10 @@
               ? Option.none()
               : Option.some("give a URL, such as http://10.0.0.1:8000");
       case FLAG -> value.isBoolean() ? Option.none() : Option.some("give true or false");
+      case SHARE ->
+          value.isNumber() && value.asDouble() >= 0 && value.asDouble() <= 1
+              ? Option.none()
+              : Option.some("give a number from 0 to 1");
       case NUMBER -> numberProblem(setting, value);
     };
   }
@@ -125,6 +129,12 @@
         .getOrElse(() -> Long.parseLong(setting.fallback().get()));
   }
 
+  double decimal(Setting setting) {
+    return value(setting)
+        .map(JsonNode::asDouble)
+        .getOrElse(() -> Double.parseDouble(setting.fallback().get()));
+  }
+
   boolean has(Setting setting) {
     return value(setting).isDefined();
   }
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsReference.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsReference.java
@@ -54,6 +54,7 @@
       case URL -> "URL";
       case FLAG -> "true or false";
       case NUMBER -> "whole number";
+      case SHARE -> "number from 0 to 1";
     };
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/access/AccessPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/access/AccessPolicy.java
@@ -119,6 +119,7 @@
             .flatMap(snapshot.customers()::get)
             .flatMap(Customer::priority)
             .getOrElse(rules.priority());
-    return new Handling(priority, rules.targetMillis(), rules.maxAttempts(), request.caller());
+    return new Handling(
+        priority, rules.targetMillis(), rules.maxAttempts(), request.caller(), false);
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -35,6 +35,11 @@
     if (server.isLeft()) {
       return Step.to(state, refused(admit, server.getLeft()));
     }
+    if (isHeldBack(server.get(), admit)) {
+      return Step.to(
+          state,
+          refused(admit, Failure.of(ResultCode.BACKEND_SERVER_FAILING, admit.server().value())));
+    }
     if (hasRoom(state, server.get(), admit.nowNanos())) {
       return admitted(state, server.get(), admit, admit.nowNanos());
     }
@@ -69,6 +74,14 @@
     return Either.right(hosted.get());
   }
 
+  /** A suspected backend server gets trials alone, and what no other one would take. */
+  private static boolean isHeldBack(HostedServer server, HostEvent.Admit admit) {
+    if (!server.health().suspected() || admit.head().handling().lastResort()) {
+      return false;
+    }
+    return !admit.head().idempotent() || !server.health().trialDue(admit.nowNanos());
+  }
+
   private static boolean hasRoom(HostState state, HostedServer server, long nowNanos) {
     if (server.busySlots() >= server.announcement().slots()) {
       return false;
@@ -110,6 +123,15 @@
         step = step.with(refused(request.admit(), server.getLeft()));
         continue;
       }
+      if (isHeldBack(server.get(), request.admit())) {
+        step =
+            step.with(
+                refused(
+                    request.admit(),
+                    Failure.of(
+                        ResultCode.BACKEND_SERVER_FAILING, request.admit().server().value())));
+        continue;
+      }
       if (hasRoom(step.state(), server.get(), nowNanos)) {
         step = step.then(s -> admitted(s, server.get(), request.admit(), nowNanos));
         continue;
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
@@ -20,6 +20,16 @@
   /** The backend servers that take work have changed. */
   record Publish(Vector<Announcement> serving) implements HostEffect {}
 
+  /**
+   * A backend server is held back, or no more.
+   *
+   * @param server the backend server
+   * @param suspected whether it is held back from now on
+   * @param cause the end of a request that decided it
+   */
+  record Judged(BackendServerId server, boolean suspected, HostEvent.Ended cause)
+      implements HostEffect {}
+
   /** Requests wait, and time is to be told soon. */
   record Wake(long delayMillis) implements HostEffect {}
 
--- a/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
@@ -1,6 +1,8 @@
 package org.clementinepost.policy.host;
 
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.kernel.Decision;
 import org.clementinepost.kernel.Step;
@@ -29,7 +31,7 @@
       return woken(admissions.admit(state, admit));
     }
     if (event instanceof HostEvent.Ended ended) {
-      return settled(admissions.proceed(state.ended(ended.admission()), ended.nowNanos()));
+      return ended(state, ended);
     }
     if (event instanceof HostEvent.Announced announced) {
       HostState next = AnnouncementPolicy.announced(state, announced);
@@ -46,6 +48,22 @@
     return published(state, Step.to(state.withSnapshot(((HostEvent.Configured) event).snapshot())));
   }
 
+  private Step<HostState, HostEffect> ended(HostState state, HostEvent.Ended ended) {
+    HostState next = state.ended(ended);
+    Step<HostState, HostEffect> step = settled(admissions.proceed(next, ended.nowNanos()));
+    Option<HostedServer> server =
+        state.admissions().get(ended.admission()).flatMap(next.servers()::get);
+    boolean before = server.exists(s -> isSuspected(state, s.announcement().server()));
+    boolean after = server.exists(s -> s.health().suspected());
+    return before == after
+        ? step
+        : step.with(new HostEffect.Judged(server.get().announcement().server(), after, ended));
+  }
+
+  private static boolean isSuspected(HostState state, BackendServerId server) {
+    return state.servers().get(server).exists(known -> known.health().suspected());
+  }
+
   /** Asks for a tick while requests wait. */
   private static Step<HostState, HostEffect> woken(Step<HostState, HostEffect> step) {
     return step.state().waiting().isEmpty() ? step : step.with(new HostEffect.Wake(WAKE_MILLIS));
--- a/policy/src/main/java/org/clementinepost/policy/host/HostState.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostState.java
@@ -77,13 +77,25 @@
         stopped);
   }
 
-  HostState ended(long admission) {
-    Option<BackendServerId> id = admissions.get(admission);
+  HostState ended(HostEvent.Ended ended) {
+    Option<BackendServerId> id = admissions.get(ended.admission());
     Map<BackendServerId, HostedServer> freed =
         id.flatMap(servers::get)
-            .map(server -> servers.put(id.get(), server.freed()))
+            .map(server -> servers.put(id.get(), judged(server.freed(), ended)))
             .getOrElse(servers);
     return new HostState(
-        freed, departed, admissions.remove(admission), nextAdmission, waiting, snapshot, stopped);
+        freed,
+        departed,
+        admissions.remove(ended.admission()),
+        nextAdmission,
+        waiting,
+        snapshot,
+        stopped);
+  }
+
+  private static HostedServer judged(HostedServer server, HostEvent.Ended ended) {
+    return HealthPolicy.verdict(ended)
+        .map(good -> server.with(server.health().answered(good, ended.nowNanos())))
+        .getOrElse(server);
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
@@ -11,36 +11,53 @@
  * @param busySlots the admissions that have not ended
  * @param coldUntilNanos when it will have warmed up
  * @param recentNanos the admissions of the last second, oldest first
+ * @param health whether it answers as it should
  */
 public record HostedServer(
     Announcement announcement,
     long announcedNanos,
     int busySlots,
     long coldUntilNanos,
-    Vector<Long> recentNanos) {
+    Vector<Long> recentNanos,
+    ServerHealth health) {
   static final long RATE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   /** A backend server that announces itself for the first time. */
   static HostedServer of(Announcement announcement, long nowNanos) {
-    return new HostedServer(announcement, nowNanos, 0, 0, Vector.empty())
+    return new HostedServer(announcement, nowNanos, 0, 0, Vector.empty(), ServerHealth.GOOD)
         .announced(announcement, nowNanos);
   }
 
   HostedServer announced(Announcement next, long nowNanos) {
     long coldNanos = TimeUnit.MILLISECONDS.toNanos(next.coldMillis());
-    return new HostedServer(next, nowNanos, busySlots, nowNanos + coldNanos, recentNanos);
+    return new HostedServer(next, nowNanos, busySlots, nowNanos + coldNanos, recentNanos, health);
   }
 
   HostedServer admitted(long nowNanos) {
     Vector<Long> recent =
         recentNanos.dropWhile(admitted -> nowNanos - admitted >= RATE_WINDOW_NANOS);
     return new HostedServer(
-        announcement, announcedNanos, busySlots + 1, coldUntilNanos, recent.append(nowNanos));
+        announcement,
+        announcedNanos,
+        busySlots + 1,
+        coldUntilNanos,
+        recent.append(nowNanos),
+        health.tried(nowNanos));
   }
 
   HostedServer freed() {
     return new HostedServer(
-        announcement, announcedNanos, Math.max(0, busySlots - 1), coldUntilNanos, recentNanos);
+        announcement,
+        announcedNanos,
+        Math.max(0, busySlots - 1),
+        coldUntilNanos,
+        recentNanos,
+        health);
+  }
+
+  HostedServer with(ServerHealth next) {
+    return new HostedServer(
+        announcement, announcedNanos, busySlots, coldUntilNanos, recentNanos, next);
   }
 
   boolean takesWork() {
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/ServerHealth.java
@@ -0,0 +1,43 @@
+package org.clementinepost.policy.host;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Whether a backend server answers as it should, judged by its host from every answer.
+ *
+ * <p>A healthy server fails so seldom, and a sick one so often, that one failure is enough to
+ * suspect it. A suspected one gets a single trial request at a time, which must be able to run
+ * elsewhere if it fails.
+ *
+ * @param suspected whether it is held back
+ * @param goodTrials the answers in a row that were good while it was suspected
+ * @param nextTrialNanos when the next trial may be sent
+ */
+record ServerHealth(boolean suspected, int goodTrials, long nextTrialNanos) {
+  private static final int GOOD_TRIALS_TO_CLEAR = 2;
+  private static final long TRIAL_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** How long a trial may go without an answer before another is sent. */
+  private static final long TRIAL_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  static final ServerHealth GOOD = new ServerHealth(false, 0, 0);
+
+  boolean trialDue(long nowNanos) {
+    return nowNanos >= nextTrialNanos;
+  }
+
+  /** A trial has been sent; the next one waits for its answer. */
+  ServerHealth tried(long nowNanos) {
+    return suspected ? new ServerHealth(true, goodTrials, nowNanos + TRIAL_PATIENCE_NANOS) : this;
+  }
+
+  ServerHealth answered(boolean good, long nowNanos) {
+    if (!good) {
+      return new ServerHealth(true, 0, nowNanos + TRIAL_GAP_NANOS);
+    }
+    if (!suspected || goodTrials + 1 >= GOOD_TRIALS_TO_CLEAR) {
+      return GOOD;
+    }
+    return new ServerHealth(true, goodTrials + 1, nowNanos);
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/quota/TokenBucket.java
@@ -0,0 +1,33 @@
+package org.clementinepost.policy.quota;
+
+import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tokens that come at a rate up to a cap; each request takes one.
+ *
+ * @param tokens the tokens that were there
+ * @param atNanos when they were counted
+ */
+record TokenBucket(double tokens, long atNanos) {
+  private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  private TokenBucket at(double ratePerSecond, double capTokens, long nowNanos) {
+    double come = ratePerSecond * Math.max(0, nowNanos - atNanos) / NANOS_PER_SECOND;
+    return new TokenBucket(Math.min(capTokens, tokens + come), Math.max(atNanos, nowNanos));
+  }
+
+  /** The bucket after a token was taken; none when there is no whole one. */
+  Option<TokenBucket> take(double ratePerSecond, double capTokens, long nowNanos) {
+    TokenBucket now = at(ratePerSecond, capTokens, nowNanos);
+    return now.tokens < 1
+        ? Option.none()
+        : Option.some(new TokenBucket(now.tokens - 1, now.atNanos));
+  }
+
+  /** How long it takes until the next token is whole. */
+  long waitMillis(double ratePerSecond, double capTokens, long nowNanos) {
+    double missing = 1 - at(ratePerSecond, capTokens, nowNanos).tokens;
+    return (long) Math.ceil(Math.max(0, missing) / ratePerSecond * TimeUnit.SECONDS.toMillis(1));
+  }
+}
--- a/policy/src/main/java/org/clementinepost/policy/quota/package-info.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/package-info.java
@@ -1,2 +1,2 @@
-/** Rates and bursts that hold over all nodes together: homes mint tokens, holders spend them. */
+/** Who may spend a customer's rate and burst, and how much of it. */
 package org.clementinepost.policy.quota;
--- a/policy/src/main/java/org/clementinepost/policy/routing/Hold.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/Hold.java
@@ -12,6 +12,7 @@
 record Hold(long untilNanos, boolean departed) {
   private static final long DEPARTED_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long FAILING_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
   private static final long BUSY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final Hold NO_HOLD = new Hold(Long.MIN_VALUE, false);
 
@@ -27,6 +28,8 @@
       case PEER_INCARNATION:
       case BACKEND_CONNECT_FAILED:
         return new Hold(nowNanos + UNREACHABLE_NANOS, false);
+      case BACKEND_SERVER_FAILING:
+        return new Hold(nowNanos + FAILING_NANOS, false);
       case HOST_QUEUE_FULL:
       case HOST_QUEUE_TIMEOUT:
       case BACKEND_SERVER_SHED:
--- a/policy/src/main/java/org/clementinepost/policy/routing/Standing.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/Standing.java
@@ -15,7 +15,7 @@
    * @param ramping whether it still gets fewer
    */
   record InUse(int strikes, long rampStartNanos, boolean ramping) implements Standing {
-    private static final long RAMP_NANOS = TimeUnit.SECONDS.toNanos(4);
+    private static final long RAMP_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final double RAMP_MIN_WEIGHT = 0.1;
     private static final long FORGIVEN_NANOS = TimeUnit.SECONDS.toNanos(120);
 
@@ -45,10 +45,10 @@
    */
   record Ejected(EjectionReason reason, int strikes, long untilNanos, int goodTrials)
       implements Standing {
-    private static final long BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final int BACKOFF_MAX_DOUBLINGS = 5;
+    private static final long BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final int BACKOFF_MAX_DOUBLINGS = 2;
     private static final long TRIAL_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-    private static final int TRIALS = 10;
+    private static final int TRIALS = 2;
 
     static Ejected after(int strikes, EjectionReason reason, long nowNanos) {
       long backoffNanos = BACKOFF_NANOS << Math.min(strikes, BACKOFF_MAX_DOUBLINGS);
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/rows/MeshBackendStandIn.java
@@ -0,0 +1,99 @@
+package org.clementinepost.testing.rows;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.testing.StandInServer;
+import org.reactivestreams.Publisher;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** A backend server that tells its node of itself by heartbeats and names requests in answers. */
+public final class MeshBackendStandIn implements AutoCloseable {
+  private static final Duration HEARTBEAT_PERIOD = Duration.ofMillis(500);
+  private static final int OK_STATUS = 200;
+
+  private final String id;
+  private final String service;
+  private final NetworkAddress control;
+  private final StandInServer server;
+  private final AtomicLong sequence = new AtomicLong();
+  private final AtomicInteger status = new AtomicInteger(OK_STATUS);
+  private final AtomicInteger runs = new AtomicInteger();
+  private final AtomicReference<String> lastHeaders = new AtomicReference<>("");
+  private final Disposable heartbeats;
+
+  private MeshBackendStandIn(String id, String service, NetworkAddress control) {
+    this.id = id;
+    this.service = service;
+    this.control = control;
+    this.server = StandInServer.bind("127.0.0.1", 0, HttpServer.create().handle(this::handle));
+    this.heartbeats =
+        Flux.interval(Duration.ZERO, HEARTBEAT_PERIOD)
+            .concatMap(tick -> tell("ready").onErrorComplete())
+            .subscribe();
+  }
+
+  /** Starts on a free port and tells a node of itself. */
+  public static MeshBackendStandIn start(String id, String service, NetworkAddress control) {
+    return new MeshBackendStandIn(id, service, control);
+  }
+
+  /** Answers every request with a status from now on. */
+  public void answerWith(int next) {
+    status.set(next);
+  }
+
+  /** The requests that it has run. */
+  public int runs() {
+    return runs.get();
+  }
+
+  /** The header fields of the last request. */
+  public String lastHeaders() {
+    return lastHeaders.get();
+  }
+
+  /** Says that it will leave; completes once that is acknowledged. */
+  public Mono<Void> drain() {
+    heartbeats.dispose();
+    return tell("draining");
+  }
+
+  private Mono<Void> tell(String state) {
+    String body =
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":5,\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":%d,\"born\":1}"
+            .formatted(service, server.address(), state, sequence.incrementAndGet());
+    return HttpClient.create()
+        .post()
+        .uri("http://" + control + "/-/rpc?call=instances.heartbeat&of=" + id)
+        .send((request, outbound) -> outbound.sendString(Mono.just(body)))
+        .response()
+        .then();
+  }
+
+  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    runs.incrementAndGet();
+    lastHeaders.set(request.requestHeaders().toString());
+    response.header("Attempt-Id", request.requestHeaders().get("Attempt-Id", ""));
+    response.header("Server-Stamp", id);
+    return request
+        .receive()
+        .aggregate()
+        .then()
+        .then(response.status(status.get()).sendString(Mono.just("of " + id)).then());
+  }
+
+  @Override
+  public void close() {
+    heartbeats.dispose();
+    server.close();
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/rows/MeshRehearsalMain.java
@@ -0,0 +1,77 @@
+package org.clementinepost.testing.rows;
+
+import java.time.Duration;
+import java.util.List;
+import org.clementinepost.api.NetworkAddress;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Plays the platform, two backend servers and a caller for two nodes, so that the classes which a
+ * node loads at work can be recorded.
+ *
+ * <p>Its arguments are the ports for callers and for backend servers of each node. It prints the
+ * store's address, waits until both nodes answer, sends its requests and ends.
+ */
+public final class MeshRehearsalMain {
+  private static final int REQUESTS = 40;
+  private static final Duration PATIENCE = Duration.ofSeconds(30);
+  private static final Duration RETRY_PERIOD = Duration.ofMillis(200);
+  private static final int OK_STATUS = 200;
+  private static final String CONFIGURATION =
+      "{\"version\":\"r1\",\"routes\":[{\"name\":\"read\",\"host\":\"a.example\",\"prefix\":\"/read/\",\"kind\":\"safe\",\"timeoutMs\":2000,\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"s\",\"maxAttempts\":2,\"authExempt\":true},"
+          + "{\"name\":\"write\",\"host\":\"a.example\",\"prefix\":\"/write/\",\"kind\":\"unsafe\",\"timeoutMs\":2000,\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"s\",\"maxAttempts\":2,\"authExempt\":false}],"
+          + "\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":3.0,\"coldPerS\":10.0}],"
+          + "\"limits\":{},\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"key\"],\"priority\":1,\"ratePerS\":1000,\"burst\":1000}]}";
+
+  private MeshRehearsalMain() {}
+
+  /** Plays until the requests have been answered. */
+  public static void main(String[] args) {
+    try (RowStoreStandIn store = RowStoreStandIn.start()) {
+      store.put("op", "config", CONFIGURATION);
+      System.out.println("store " + store.address());
+      try (MeshBackendStandIn first = backend("one", args[1]);
+          MeshBackendStandIn second = backend("two", args[3])) {
+        play(args[0]);
+        play(args[2]);
+        System.out.println("answered " + (first.runs() + second.runs()));
+      }
+    }
+  }
+
+  private static MeshBackendStandIn backend(String id, String port) {
+    return MeshBackendStandIn.start(
+        id, "s", new NetworkAddress("127.0.0.1", Integer.parseInt(port)));
+  }
+
+  private static void play(String port) {
+    ask(port, "/read/x")
+        .filter(status -> status == OK_STATUS)
+        .repeatWhenEmpty(again -> again.delayElements(RETRY_PERIOD))
+        .timeout(PATIENCE)
+        .block();
+    Flux.fromIterable(List.of("/read/x", "/write/y"))
+        .repeat(REQUESTS)
+        .concatMap(path -> ask(port, path))
+        .blockLast(PATIENCE);
+  }
+
+  private static Mono<Integer> ask(String port, String path) {
+    return HttpClient.create()
+        .headers(
+            headers ->
+                headers
+                    .set("Host", "a.example")
+                    .set("Attempt-Id", path + System.nanoTime())
+                    .set("Deadline-Ms", "2000")
+                    .set("Authorization", "Bearer key"))
+        .post()
+        .uri("http://127.0.0.1:" + port + path)
+        .send((request, outbound) -> outbound.sendString(Mono.just("body")))
+        .responseSingle(
+            (response, content) -> content.asByteArray().then(Mono.just(response.status().code())))
+        .onErrorResume(error -> Mono.empty());
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/rows/RowStoreStandIn.java
@@ -0,0 +1,265 @@
+package org.clementinepost.testing.rows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.testing.StandInServer;
+import org.reactivestreams.Publisher;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** A metadata store in memory, which fails by order. */
+public final class RowStoreStandIn implements AutoCloseable {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int OK_STATUS = 200;
+  private static final int HISTORY_LOST_STATUS = 410;
+  private static final int CONDITION_FAILED_STATUS = 412;
+  private static final int NOT_FOUND_STATUS = 404;
+
+  /** How a call is met. */
+  public enum Fault {
+    /** It is answered. */
+    NONE,
+    /** It is refused, and nothing is done. */
+    BUSY,
+    /** The rate is said to be exceeded, and nothing is done. */
+    THROTTLED,
+    /** The connection is reset, and nothing is done. */
+    RESET,
+    /** Nothing is done, and no answer comes. */
+    SILENT,
+    /** The call is done, and the answer is lost. */
+    LOST_ANSWER,
+    /** The call is done later, if its condition still holds then, and no answer comes. */
+    LATE_EFFECT
+  }
+
+  private static final int BUSY_STATUS = 503;
+  private static final int THROTTLED_STATUS = 429;
+
+  private final AtomicReference<StoredRows> stored = new AtomicReference<>(StoredRows.empty());
+  private final AtomicReference<Fault> fault = new AtomicReference<>(Fault.NONE);
+  private final AtomicReference<Vector<Runnable>> late = new AtomicReference<>(Vector.empty());
+  private final AtomicLong calls = new AtomicLong();
+  private final Sinks.Many<Long> versions = Sinks.many().multicast().directBestEffort();
+  private final StandInServer server;
+
+  private RowStoreStandIn() {
+    server = StandInServer.bind("127.0.0.1", 0, HttpServer.create().handle(this::handle));
+  }
+
+  /** Starts on a free port of the loopback interface. */
+  public static RowStoreStandIn start() {
+    return new RowStoreStandIn();
+  }
+
+  /** Where it listens. */
+  public NetworkAddress address() {
+    return server.address();
+  }
+
+  /** How calls are met from now on. */
+  public void meet(Fault next) {
+    fault.set(next);
+  }
+
+  /** Carries out the calls whose effect was put off. */
+  public void carryOutLateCalls() {
+    late.getAndSet(Vector.empty()).forEach(Runnable::run);
+  }
+
+  /** Drops the history of changes. */
+  public void forgetHistory() {
+    stored.updateAndGet(StoredRows::forgetful);
+  }
+
+  /** The calls that were made, those that failed included. */
+  public long calls() {
+    return calls.get();
+  }
+
+  /** Writes a row as its owner would, under no condition. */
+  public void put(String table, String key, String value) {
+    String encoded = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+    change(Vector.of(new StoredRow(table, key, Option.some(encoded), 0)));
+  }
+
+  /** Removes a row as its owner would, under no condition. */
+  public void remove(String table, String key) {
+    change(Vector.of(new StoredRow(table, key, Option.none(), 0)));
+  }
+
+  /** The value of a row. */
+  public Option<String> value(String table, String key) {
+    return stored
+        .get()
+        .row(table, key)
+        .flatMap(StoredRow::value)
+        .map(text -> new String(Base64.getDecoder().decode(text), StandardCharsets.UTF_8));
+  }
+
+  private long change(Vector<StoredRow> changes) {
+    long version = stored.updateAndGet(rows -> rows.apply(changes)).version();
+    versions.tryEmitNext(version);
+    return version;
+  }
+
+  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    calls.incrementAndGet();
+    Mono<Answer> answer =
+        request
+            .receive()
+            .aggregate()
+            .asByteArray()
+            .defaultIfEmpty(new byte[0])
+            .flatMap(body -> answer(request.uri(), body));
+    return switch (fault.get()) {
+      case NONE -> answer.flatMap(done -> write(response, done));
+      case BUSY -> write(response, new Answer(BUSY_STATUS, "{}"));
+      case THROTTLED -> write(response, new Answer(THROTTLED_STATUS, "{}"));
+      case RESET -> reset(request);
+      case SILENT -> Mono.never();
+      case LOST_ANSWER -> answer.then(reset(request));
+      case LATE_EFFECT ->
+          request
+              .receive()
+              .aggregate()
+              .asByteArray()
+              .defaultIfEmpty(new byte[0])
+              .doOnNext(
+                  body ->
+                      late.updateAndGet(
+                          all -> all.append(() -> answer(request.uri(), body).subscribe())))
+              .then(Mono.never());
+    };
+  }
+
+  private static Mono<Void> reset(HttpServerRequest request) {
+    return Mono.fromRunnable(() -> request.withConnection(Disposable::dispose));
+  }
+
+  private record Answer(int status, String body) {}
+
+  private static Mono<Void> write(HttpServerResponse response, Answer answer) {
+    byte[] bytes = answer.body().getBytes(StandardCharsets.UTF_8);
+    return response
+        .status(answer.status())
+        .header("Content-Type", "application/json")
+        .header("Content-Length", String.valueOf(bytes.length))
+        .sendByteArray(Mono.just(bytes))
+        .then();
+  }
+
+  private Mono<Answer> answer(String uri, byte[] body) {
+    QueryStringDecoder query = new QueryStringDecoder(uri);
+    return switch (query.path()) {
+      case "/-/rows-get" -> Mono.just(get(query));
+      case "/-/rows-feed" -> feed(query);
+      case "/-/rows-tx" -> Mono.fromSupplier(() -> transact(body));
+      default -> Mono.just(new Answer(NOT_FOUND_STATUS, "{}"));
+    };
+  }
+
+  private static String parameter(QueryStringDecoder query, String name, String fallback) {
+    return query.parameters().getOrDefault(name, List.of(fallback)).get(0);
+  }
+
+  private Answer get(QueryStringDecoder query) {
+    StoredRows now = stored.get();
+    Vector<StoredRow> rows = now.table(parameter(query, "table", ""), parameter(query, "from", ""));
+    return new Answer(OK_STATUS, page(rows, now.version()));
+  }
+
+  private Mono<Answer> feed(QueryStringDecoder query) {
+    String table = parameter(query, "table", "");
+    long after = Long.parseLong(parameter(query, "after", "0"));
+    long waitMillis = Long.parseLong(parameter(query, "waitMs", "0"));
+    if (after < stored.get().forgottenVersion()) {
+      return Mono.just(new Answer(HISTORY_LOST_STATUS, "{}"));
+    }
+    return versions
+        .asFlux()
+        .startWith(0L)
+        .filter(changed -> !stored.get().changes(table, after).isEmpty())
+        .next()
+        .map(changed -> changes(table, after))
+        .timeout(Duration.ofMillis(waitMillis), Mono.fromSupplier(() -> changes(table, after)));
+  }
+
+  private Answer changes(String table, long after) {
+    StoredRows now = stored.get();
+    return new Answer(OK_STATUS, page(now.changes(table, after), now.version()));
+  }
+
+  private static String page(Vector<StoredRow> rows, long version) {
+    ObjectNode root = MAPPER.createObjectNode();
+    ArrayNode list = root.putArray("rows");
+    for (StoredRow row : rows) {
+      ObjectNode node =
+          list.addObject()
+              .put("table", row.table())
+              .put("part", "")
+              .put("key", row.key())
+              .put("ver", row.version());
+      row.value().forEach(value -> node.put("value", value));
+      if (row.value().isEmpty()) {
+        node.put("tombstone", true);
+      }
+    }
+    root.put("hasMore", false).put("ver", version);
+    return root.toString();
+  }
+
+  private Answer transact(byte[] body) {
+    JsonNode root = read(body);
+    StoredRows now = stored.get();
+    boolean holds =
+        Vector.ofAll(root.path("expectedRev"))
+            .forAll(
+                node ->
+                    now.versionOf(node.path("table").asText(), node.path("key").asText())
+                        == node.path("ver").asLong());
+    if (!holds) {
+      return new Answer(CONDITION_FAILED_STATUS, "{\"rows\":[]}");
+    }
+    Vector<StoredRow> changes =
+        Vector.ofAll(root.path("puts"))
+            .map(node -> row(node, Option.some(node.path("value").asText())))
+            .appendAll(Vector.ofAll(root.path("remove")).map(node -> row(node, Option.none())));
+    return new Answer(OK_STATUS, "{\"ver\":" + change(changes) + ",\"nowMs\":0}");
+  }
+
+  private static StoredRow row(JsonNode node, Option<String> value) {
+    return new StoredRow(node.path("table").asText(), node.path("key").asText(), value, 0);
+  }
+
+  private static JsonNode read(byte[] body) {
+    try {
+      return MAPPER.readTree(body);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/rows/StoredRows.java
@@ -0,0 +1,67 @@
+package org.clementinepost.testing.rows;
+
+import io.vavr.collection.TreeMap;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+
+/**
+ * All that a store holds.
+ *
+ * @param rows the rows by table and key
+ * @param history the changes that are still remembered, oldest first
+ * @param version the version of the last change
+ * @param forgottenVersion the last change that is not remembered any more
+ */
+record StoredRows(
+    TreeMap<String, StoredRow> rows,
+    Vector<StoredRow> history,
+    long version,
+    long forgottenVersion) {
+  private static final char SEPARATOR = '\0';
+
+  static StoredRows empty() {
+    return new StoredRows(TreeMap.empty(), Vector.empty(), 0, 0);
+  }
+
+  Option<StoredRow> row(String table, String key) {
+    return rows.get(table + SEPARATOR + key);
+  }
+
+  long versionOf(String table, String key) {
+    return row(table, key).map(StoredRow::version).getOrElse(0L);
+  }
+
+  Vector<StoredRow> table(String table, String fromKey) {
+    return rows.values()
+        .filter(row -> row.table().equals(table) && row.key().compareTo(fromKey) >= 0)
+        .toVector();
+  }
+
+  Vector<StoredRow> changes(String table, long after) {
+    return history.filter(row -> row.table().equals(table) && row.version() > after);
+  }
+
+  /** Applies one transaction; each change takes the same version. */
+  StoredRows apply(Vector<StoredRow> changes) {
+    long next = version + 1;
+    StoredRows result = new StoredRows(rows, history, next, forgottenVersion);
+    for (StoredRow change : changes) {
+      result = result.changed(new StoredRow(change.table(), change.key(), change.value(), next));
+    }
+    return result;
+  }
+
+  private StoredRows changed(StoredRow row) {
+    String place = row.table() + SEPARATOR + row.key();
+    return new StoredRows(
+        row.value().isDefined() ? rows.put(place, row) : rows.remove(place),
+        history.append(row),
+        version,
+        forgottenVersion);
+  }
+
+  /** Drops the history; whoever follows from before has to read anew. */
+  StoredRows forgetful() {
+    return new StoredRows(rows, Vector.empty(), version, version);
+  }
+}
--- a/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
+++ b/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
@@ -104,6 +104,7 @@
     packer.packLong(handling.targetMillis());
     packer.packInt(handling.maxAttempts());
     Fields.writeOption(packer, handling.caller(), (p, caller) -> p.packString(caller.value()));
+    packer.packBoolean(handling.lastResort());
   }
 
   private static Handling readHandling(MessageUnpacker unpacker) throws IOException {
@@ -111,7 +112,8 @@
         unpacker.unpackInt(),
         unpacker.unpackLong(),
         unpacker.unpackInt(),
-        Fields.readOption(unpacker, u -> new ServiceId(u.unpackString())));
+        Fields.readOption(unpacker, u -> new ServiceId(u.unpackString())),
+        unpacker.unpackBoolean());
   }
 
   private static void write(MessagePacker packer, StreamMessage.Answered answered)
