--- a/api/src/main/java/org/clementinepost/api/Handling.java
+++ b/api/src/main/java/org/clementinepost/api/Handling.java
@@ -9,15 +9,14 @@
  * @param targetMillis the time within which an answer is worth most; zero without one
  * @param maxAttempts backend servers that it may be sent to
  * @param caller the service that runs on the VM where the request began
- * @param lastResort whether no other place would take it, so that a backend server that fails is
- *     better than none
+ * @param insistence how far it goes at one host
  */
 public record Handling(
     int priority,
     long targetMillis,
     int maxAttempts,
     Option<ServiceId> caller,
-    boolean lastResort) {
+    Insistence insistence) {
   /** The rank of a request that nobody has ranked. */
   public static final int LOWEST_PRIORITY = 1_000;
 
@@ -25,10 +24,10 @@
 
   /** A request that no route says more about. */
   public static final Handling DEFAULT =
-      new Handling(LOWEST_PRIORITY, 0, DEFAULT_MAX_ATTEMPTS, Option.none(), false);
+      new Handling(LOWEST_PRIORITY, 0, DEFAULT_MAX_ATTEMPTS, Option.none(), Insistence.FREE_SLOT);
 
-  /** The same handling for a request that no other place would take. */
-  public Handling asLastResort() {
-    return new Handling(priority, targetMillis, maxAttempts, caller, true);
+  /** The same handling for a request that goes so far at its next host. */
+  public Handling with(Insistence next) {
+    return new Handling(priority, targetMillis, maxAttempts, caller, next);
   }
 }
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -9,6 +9,7 @@
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.Insistence;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
@@ -165,7 +166,9 @@
       return lastResort(head, body, deadlineNanos, answer);
     }
     boolean reached = answer.fold(RetryPolicy::reachedServer, whole -> true);
-    RequestHead next = head.nextAttempt(head.attempt() + (reached ? 1 : 0), remainingMillis);
+    RequestHead next =
+        head.nextAttempt(head.attempt() + (reached ? 1 : 0), remainingMillis)
+            .with(head.handling().with(RetryPolicy.insistence(tried.size())));
     return place(next, tried)
         .flatMap(
             placed ->
@@ -181,16 +184,16 @@
   /** A backend server that fails most requests is still better than none. */
   private Mono<Either<Failure, Answer>> lastResort(
       RequestHead head, UploadBody body, long deadlineNanos, Either<Failure, Answer> answer) {
-    boolean heldBack =
+    boolean refused =
         answer.isLeft()
-            && answer.getLeft().code() == ResultCode.BACKEND_SERVER_FAILING
-            && !head.handling().lastResort();
-    if (!heldBack || body.started() || remainingMillis(deadlineNanos) <= 0) {
+            && answer.getLeft().runState() == RunState.NOT_RUN
+            && head.handling().insistence() != Insistence.ANY_SERVER;
+    if (!refused || body.started() || remainingMillis(deadlineNanos) <= 0) {
       return Mono.just(answer);
     }
     RequestHead last =
         head.nextAttempt(head.attempt(), remainingMillis(deadlineNanos))
-            .with(head.handling().asLastResort());
+            .with(head.handling().with(Insistence.ANY_SERVER));
     return place(last, HashSet.empty())
         .flatMap(
             placed ->
--- a/policy/src/main/java/org/clementinepost/policy/access/AccessPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/access/AccessPolicy.java
@@ -6,6 +6,7 @@
 import org.clementinepost.api.CustomerId;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.Handling;
+import org.clementinepost.api.Insistence;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
@@ -120,6 +121,10 @@
             .flatMap(Customer::priority)
             .getOrElse(rules.priority());
     return new Handling(
-        priority, rules.targetMillis(), rules.maxAttempts(), request.caller(), false);
+        priority,
+        rules.targetMillis(),
+        rules.maxAttempts(),
+        request.caller(),
+        Insistence.FREE_SLOT);
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -7,6 +7,7 @@
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.Insistence;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.Service;
 import org.clementinepost.kernel.Step;
@@ -19,7 +20,7 @@
  */
 final class AdmissionPolicy {
   /** The part of the time within which an answer is worth most that a request may wait. */
-  private static final int PATIENCE_DIVISOR = 6;
+  private static final int PATIENCE_DIVISOR = 4;
 
   /** Requests that wait for each slot at most. */
   private static final int WAITING_PER_SLOT = 1;
@@ -43,8 +44,7 @@
     if (hasRoom(state, server.get(), admit.nowNanos())) {
       return admitted(state, server.get(), admit, admit.nowNanos());
     }
-    long patienceNanos =
-        TimeUnit.MILLISECONDS.toNanos(admit.head().handling().targetMillis()) / PATIENCE_DIVISOR;
+    long patienceNanos = patienceNanos(admit);
     int waiting = state.waiting().count(w -> w.admit().server().equals(admit.server()));
     int mostWaiting = server.get().announcement().slots() * WAITING_PER_SLOT;
     if (patienceNanos == 0 || waiting >= mostWaiting) {
@@ -56,6 +56,17 @@
         state.withWaiting(state.waiting().append(request).sorted(WaitingRequest.URGENCY)));
   }
 
+  private static Insistence insistence(HostEvent.Admit admit) {
+    return admit.head().handling().insistence();
+  }
+
+  private static long patienceNanos(HostEvent.Admit admit) {
+    if (insistence(admit) == Insistence.FREE_SLOT) {
+      return 0;
+    }
+    return TimeUnit.MILLISECONDS.toNanos(admit.head().handling().targetMillis()) / PATIENCE_DIVISOR;
+  }
+
   /** Whether a backend server takes work at all. */
   private Either<Failure, HostedServer> open(HostState state, BackendServerId server) {
     Option<HostedServer> hosted = state.servers().get(server);
@@ -76,7 +87,7 @@
 
   /** A suspected backend server gets trials alone, and what no other one would take. */
   private static boolean isHeldBack(HostedServer server, HostEvent.Admit admit) {
-    if (!server.health().suspected() || admit.head().handling().lastResort()) {
+    if (!server.health().suspected() || insistence(admit) == Insistence.ANY_SERVER) {
       return false;
     }
     return !admit.head().idempotent() || !server.health().trialDue(admit.nowNanos());
--- a/policy/src/main/java/org/clementinepost/policy/routing/LessLoadedOfTwo.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/LessLoadedOfTwo.java
@@ -9,8 +9,8 @@
  * Chooses the less loaded of two endpoints drawn at random.
  *
  * <p>Two draws spread load nearly as well as a look at all endpoints, and do not send every ingress
- * node to the same idle backend server at once. Between two that are equally loaded the one in the
- * node's own failure domain goes first. A suspected one counts as more loaded, and one that was
+ * node to the same idle backend server at once. Those in the node's own failure domain go first as
+ * long as one of them may have a free slot. A suspected one counts as more loaded, and one that was
  * re-admitted of late gives way by chance.
  *
  * @param own the failure domain of this node
@@ -20,8 +20,9 @@
   private static final int RANDOM_BITS = 20;
 
   @Override
-  public Endpoint choose(
-      ServiceState service, Vector<Endpoint> candidates, long random, long nowNanos) {
+  public Endpoint choose(ServiceState service, Vector<Endpoint> all, long random, long nowNanos) {
+    Vector<Endpoint> near = all.filter(endpoint -> own.contains(endpoint.domain()));
+    Vector<Endpoint> candidates = near.isEmpty() ? all : near;
     int size = candidates.size();
     if (size == 1) {
       return candidates.head();
@@ -50,21 +51,17 @@
         && chance > inUse.weight(nowNanos);
   }
 
-  private EndpointState lessLoaded(EndpointState first, EndpointState second) {
+  private static EndpointState lessLoaded(EndpointState first, EndpointState second) {
     long firstLoad = load(first) * second.endpoint().slots();
     long secondLoad = load(second) * first.endpoint().slots();
     if (firstLoad != secondLoad) {
       return firstLoad < secondLoad ? first : second;
     }
-    return isNear(second) && !isNear(first) ? second : first;
+    return first;
   }
 
   private static long load(EndpointState state) {
     int suspicion = state.evidence().suspects() ? SUSPECT_REQUESTS : 0;
     return state.outstanding().count() + suspicion;
   }
-
-  private boolean isNear(EndpointState state) {
-    return own.contains(state.endpoint().domain());
-  }
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/RetryPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RetryPolicy.java
@@ -1,6 +1,7 @@
 package org.clementinepost.policy.routing;
 
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.Insistence;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.RunState;
@@ -16,6 +17,9 @@
   /** Places that a request may ask before it is refused, whether or not any has sent it on. */
   private static final int MAX_PLACES = 6;
 
+  /** Places that are asked for a free slot before a request waits for one. */
+  private static final int PLACES_BEFORE_WAITING = 3;
+
   private static final long MIN_REMAINING_MILLIS = 5;
   private static final int INTERNAL_ERROR_STATUS = 500;
   private static final int BAD_GATEWAY_STATUS = 502;
@@ -23,6 +27,11 @@
 
   private RetryPolicy() {}
 
+  /** How far a request goes at its next place. */
+  public static Insistence insistence(int places) {
+    return places < PLACES_BEFORE_WAITING ? Insistence.FREE_SLOT : Insistence.WAITS;
+  }
+
   /** Whether a failed attempt may have reached a backend server, if only to be shed there. */
   public static boolean reachedServer(Failure failure) {
     return failure.runState() != RunState.NOT_RUN
--- /dev/null
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -0,0 +1,270 @@
+package org.clementinepost.policy.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.Handling;
+import org.clementinepost.api.Insistence;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.RequestId;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.config.FailureDomain;
+import org.clementinepost.api.config.Service;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.kernel.Step;
+import org.junit.jupiter.api.Test;
+
+final class HostPolicyTest {
+  private static final FailureDomainId DOMAIN = new FailureDomainId("a");
+  private static final BackendServerId SERVER = new BackendServerId("s-1");
+  private static final ServiceId SERVICE = new ServiceId("desk");
+  private static final NetworkAddress ADDRESS = new NetworkAddress("10.0.0.1", 80);
+  private static final int SLOTS = 2;
+  private static final long TARGET_MILLIS = 1_000;
+
+  private final HostPolicy policy = new HostPolicy(DOMAIN);
+  private final List<String> answers = new ArrayList<>();
+  private HostState state = HostState.empty();
+  private long nowMillis = 10_000;
+
+  private static Announcement announcement(
+      String id, Announcement.State serverState, long coldMillis, long started, long number) {
+    return new Announcement(
+        new BackendServerId(id),
+        SERVICE,
+        ADDRESS,
+        SLOTS,
+        100,
+        serverState,
+        0,
+        0,
+        coldMillis,
+        Option.some(new AnnouncementOrder(started, number)));
+  }
+
+  private Vector<HostEffect> decide(HostEvent event) {
+    Step<HostState, HostEffect> step = policy.decide(state, event);
+    state = step.state();
+    for (HostEffect effect : step.effects()) {
+      if (effect instanceof HostEffect.Admitted admitted) {
+        admitted.reply().send(admitted.answer());
+      }
+    }
+    return step.effects();
+  }
+
+  private long nowNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(nowMillis);
+  }
+
+  private void announce(Announcement announcement) {
+    decide(new HostEvent.Announced(announcement, nowNanos()));
+  }
+
+  private void announce() {
+    announce(announcement("s-1", Announcement.State.SERVING, 0, 1, 1));
+  }
+
+  private void admit(String id, boolean idempotent, int priority, Insistence insistence) {
+    RequestHead head =
+        new RequestHead(
+            new RequestId(id),
+            1,
+            Option.none(),
+            SERVICE,
+            "GET",
+            "/",
+            Vector.empty(),
+            idempotent,
+            Option.none(),
+            5_000,
+            0,
+            new Handling(priority, TARGET_MILLIS, 2, Option.none(), insistence));
+    decide(
+        new HostEvent.Admit(
+            SERVER, head, nowNanos(), answer -> answers.add(id + " " + text(answer))));
+  }
+
+  private void admit(String id) {
+    admit(id, false, 1, Insistence.FREE_SLOT);
+  }
+
+  private static String text(Either<Failure, Admission> answer) {
+    return answer.fold(failure -> failure.code().name(), admission -> "ok");
+  }
+
+  private void ended(long admission, int status) {
+    decide(new HostEvent.Ended(admission, Option.none(), status, 100, nowNanos()));
+  }
+
+  @Test
+  void aRequestThatOnlyTakesAFreeSlotIsRefusedAtOnce() {
+    announce();
+    admit("a");
+    admit("b");
+    admit("c");
+    assertThat(answers).containsExactly("a ok", "b ok", "c HOST_QUEUE_FULL");
+  }
+
+  @Test
+  void theMostUrgentOfThoseThatWaitGoesFirst() {
+    announce();
+    admit("a");
+    admit("b");
+    admit("late", false, 2, Insistence.WAITS);
+    admit("urgent", false, 0, Insistence.WAITS);
+    ended(1, 200);
+    assertThat(answers).containsExactly("a ok", "b ok", "urgent ok");
+    ended(2, 200);
+    assertThat(answers).endsWith("late ok");
+  }
+
+  @Test
+  void whoWaitsTooLongIsRefused() {
+    announce();
+    admit("a");
+    admit("b");
+    admit("c", false, 1, Insistence.WAITS);
+    nowMillis += TARGET_MILLIS / 4;
+    decide(new HostEvent.Tick(nowNanos()));
+    assertThat(answers).endsWith("c HOST_QUEUE_TIMEOUT");
+  }
+
+  @Test
+  void aColdServerGetsNoMoreInASecondThanItBears() {
+    decide(
+        new HostEvent.Configured(
+            Snapshot.empty()
+                .withVersion(1)
+                .with(new Service(SERVICE, 70, 1, 0, 3_000, 1, 3, "/health", 100))));
+    announce(announcement("s-1", Announcement.State.SERVING, 3_000, 1, 1));
+    for (int i = 1; i <= 4; i++) {
+      admit("r" + i);
+      ended(i, 200);
+      nowMillis += 10;
+    }
+    assertThat(answers).containsExactly("r1 ok", "r2 ok", "r3 ok", "r4 HOST_QUEUE_FULL");
+    nowMillis += 1_000;
+    admit("r5");
+    assertThat(answers).endsWith("r5 ok");
+  }
+
+  @Test
+  void aServerThatFailedOnceGetsNothingButOneTrialAtATime() {
+    announce();
+    admit("a");
+    ended(1, 500);
+    admit("write");
+    admit("early", true, 1, Insistence.FREE_SLOT);
+    nowMillis += 500;
+    admit("trial", true, 1, Insistence.FREE_SLOT);
+    admit("second", true, 1, Insistence.FREE_SLOT);
+    assertThat(answers)
+        .containsExactly(
+            "a ok",
+            "write BACKEND_SERVER_FAILING",
+            "early BACKEND_SERVER_FAILING",
+            "trial ok",
+            "second BACKEND_SERVER_FAILING");
+  }
+
+  @Test
+  void twoGoodTrialsClearAServer() {
+    announce();
+    admit("a");
+    ended(1, 500);
+    nowMillis += 500;
+    admit("trial", true, 1, Insistence.FREE_SLOT);
+    ended(2, 200);
+    admit("another", true, 1, Insistence.FREE_SLOT);
+    ended(3, 200);
+    admit("write");
+    assertThat(answers).endsWith("write ok");
+  }
+
+  @Test
+  void aFailingServerIsBetterThanNone() {
+    announce();
+    admit("a");
+    ended(1, 500);
+    admit("write", false, 1, Insistence.ANY_SERVER);
+    assertThat(answers).endsWith("write ok");
+  }
+
+  @Test
+  void aDrainingServerGetsNothingAndALateAnnouncementDoesNotBringItBack() {
+    announce();
+    announce(announcement("s-1", Announcement.State.DRAINING, 0, 1, 3));
+    announce(announcement("s-1", Announcement.State.SERVING, 0, 1, 2));
+    admit("a");
+    assertThat(answers).containsExactly("a BACKEND_SERVER_DRAINING");
+  }
+
+  @Test
+  void aDepartedServerIsNotBroughtBackByALateAnnouncement() {
+    announce();
+    announce(Announcement.gone(SERVER, Option.none()));
+    announce(announcement("s-1", Announcement.State.SERVING, 0, 1, 9));
+    admit("a");
+    assertThat(answers).containsExactly("a BACKEND_SERVER_DRAINING");
+    announce(announcement("s-1", Announcement.State.SERVING, 0, 2, 1));
+    admit("b");
+    assertThat(answers).endsWith("b ok");
+  }
+
+  @Test
+  void anEarlierStartAtTheSameAddressChangesNothing() {
+    announce(announcement("s-1", Announcement.State.SERVING, 0, 20, 1));
+    announce(announcement("s-0", Announcement.State.SERVING, 0, 10, 99));
+    assertThat(state.servers().keySet()).containsExactly(SERVER);
+  }
+
+  @Test
+  void aLaterStartTakesTheAddressOver() {
+    announce(announcement("s-0", Announcement.State.SERVING, 0, 10, 99));
+    announce(announcement("s-1", Announcement.State.SERVING, 0, 20, 1));
+    assertThat(state.servers().keySet()).containsExactly(SERVER);
+  }
+
+  @Test
+  void aDomainTakenOutGetsNothingAndIsPublishedAsEmpty() {
+    announce();
+    Vector<HostEffect> effects =
+        decide(
+            new HostEvent.Configured(Snapshot.empty().with(new FailureDomain(DOMAIN, "", false))));
+    assertThat(effects).containsExactly(new HostEffect.Publish(Vector.empty()));
+    admit("a");
+    assertThat(answers).containsExactly("a FAILURE_DOMAIN_OUT");
+  }
+
+  @Test
+  void aStoppingHostRefusesAndTellsWhenItHasNothingLeft() {
+    announce();
+    admit("a");
+    List<Boolean> stopped = new ArrayList<>();
+    assertThat(decide(new HostEvent.Stop(stopped::add, nowNanos())))
+        .noneMatch(HostEffect.Stopped.class::isInstance);
+    admit("b");
+    assertThat(answers).endsWith("b NODE_STOPPING");
+    assertThat(decide(new HostEvent.Ended(1, Option.none(), 200, 1, nowNanos())))
+        .anyMatch(HostEffect.Stopped.class::isInstance);
+  }
+
+  @Test
+  void theStateOfAnEmptyHostHoldsNothing() {
+    assertThat(HostState.empty().servers()).isEqualTo(HashMap.empty());
+    assertThat(text(Either.left(Failure.of(ResultCode.HOST_QUEUE_FULL))))
+        .isEqualTo("HOST_QUEUE_FULL");
+  }
+}
--- a/testing/src/main/java/org/clementinepost/testing/rows/MeshBackendStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/rows/MeshBackendStandIn.java
@@ -69,7 +69,10 @@
 
   private Mono<Void> tell(String state) {
     String body =
-        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":5,\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":%d,\"born\":1}"
+"""
+{"service":"%s","address":"%s","zone":"a","version":"v1","slots":5,"state":"%s",\
+"coldRemainingMs":0,"sequence":%d,"born":1}\
+"""
             .formatted(service, server.address(), state, sequence.incrementAndGet());
     return HttpClient.create()
         .post()
--- a/testing/src/main/java/org/clementinepost/testing/rows/MeshRehearsalMain.java
+++ b/testing/src/main/java/org/clementinepost/testing/rows/MeshRehearsalMain.java
@@ -20,10 +20,17 @@
   private static final Duration RETRY_PERIOD = Duration.ofMillis(200);
   private static final int OK_STATUS = 200;
   private static final String CONFIGURATION =
-      "{\"version\":\"r1\",\"routes\":[{\"name\":\"read\",\"host\":\"a.example\",\"prefix\":\"/read/\",\"kind\":\"safe\",\"timeoutMs\":2000,\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"s\",\"maxAttempts\":2,\"authExempt\":true},"
-          + "{\"name\":\"write\",\"host\":\"a.example\",\"prefix\":\"/write/\",\"kind\":\"unsafe\",\"timeoutMs\":2000,\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"s\",\"maxAttempts\":2,\"authExempt\":false}],"
-          + "\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":3.0,\"coldPerS\":10.0}],"
-          + "\"limits\":{},\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"key\"],\"priority\":1,\"ratePerS\":1000,\"burst\":1000}]}";
+"""
+{"version":"r1","routes":[{"name":"read","host":"a.example","prefix":"/read/",\
+"kind":"safe","timeoutMs":2000,"targetLatencyMs":1000,"priority":1,\
+"service":"s","maxAttempts":2,"authExempt":true},{"name":"write",\
+"host":"a.example","prefix":"/write/","kind":"unsafe","timeoutMs":2000,\
+"targetLatencyMs":1000,"priority":1,"service":"s","maxAttempts":2,\
+"authExempt":false}],"services":[{"name":"s","healthPath":"/health",\
+"maxConnections":100,"protocol":"h1","tls":false,"coldStartS":3.0,\
+"coldPerS":10.0}],"limits":{},"tenants":[{"name":"t","apiKeys":["key"],\
+"priority":1,"ratePerS":1000,"burst":1000}]}\
+""";
 
   private MeshRehearsalMain() {}
 
--- a/wire/src/main/java/org/clementinepost/wire/QuotaMessageTypes.java
+++ b/wire/src/main/java/org/clementinepost/wire/QuotaMessageTypes.java
@@ -11,14 +11,14 @@
   static Vector<MessageType<?>> all() {
     return Vector.of(
         new MessageType<>(
-            50,
+            70,
             QuotaPeerMessage.Ask.class,
             (packer, ask) -> packer.packLong(ask.ask()).packString(ask.customer().value()),
             unpacker ->
                 new QuotaPeerMessage.Ask(
                     unpacker.unpackLong(), new CustomerId(unpacker.unpackString()))),
         new MessageType<>(
-            51,
+            71,
             QuotaPeerMessage.Answer.class,
             (packer, answer) ->
                 packer
--- a/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
+++ b/wire/src/main/java/org/clementinepost/wire/StreamMessageTypes.java
@@ -8,6 +8,7 @@
 import org.clementinepost.api.Handling;
 import org.clementinepost.api.HeaderField;
 import org.clementinepost.api.HostReport;
+import org.clementinepost.api.Insistence;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.RequestId;
 import org.clementinepost.api.ResponseHead;
@@ -104,7 +105,7 @@
     packer.packLong(handling.targetMillis());
     packer.packInt(handling.maxAttempts());
     Fields.writeOption(packer, handling.caller(), (p, caller) -> p.packString(caller.value()));
-    packer.packBoolean(handling.lastResort());
+    packer.packInt(handling.insistence().number());
   }
 
   private static Handling readHandling(MessageUnpacker unpacker) throws IOException {
@@ -113,7 +114,7 @@
         unpacker.unpackLong(),
         unpacker.unpackInt(),
         Fields.readOption(unpacker, u -> new ServiceId(u.unpackString())),
-        unpacker.unpackBoolean());
+        Insistence.ofNumber(unpacker.unpackInt()));
   }
 
   private static void write(MessagePacker packer, StreamMessage.Answered answered)
