Look for the keeper of the quota at the start; requests that may run once look for proven servers

It is now looked for within 1.5 s of a node's start, and the first keeper there ever was begins with full buckets.

Of 950 bookings about 50 were lost as the first that a backend server failed.

--- a/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
@@ -52,6 +52,8 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String SWEEP_TIMER = "quota-sweep";
+  private static final String FIRST_LOOK_TIMER = "quota-first-look";
+  private static final long MAX_FIRST_LOOK_MILLIS = 1_500;
   private static final long SWEEP_MILLIS = 100;
   private static final long RENEWAL_LOOK_MILLIS = 1_000;
   private static final long OVERDUE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
@@ -90,6 +92,20 @@
         .send(
             new ConfigurationMessage.Subscribe(
                 next -> context.self().send(new QuotaServiceMessage.Configured(next))));
+    lookUpLater();
+  }
+
+  /** Nodes that start together do not all ask at once. */
+  private void lookUpLater() {
+    long delayMillis = context.random().nextLong(MAX_FIRST_LOOK_MILLIS);
+    context
+        .registry()
+        .find(TimerService.NAME)
+        .send(
+            new TimerService.Once(
+                FIRST_LOOK_TIMER,
+                delayMillis,
+                () -> context.self().send(new QuotaServiceMessage.LookUp())));
   }
 
   /** Defines the service on a node. */
@@ -136,6 +152,10 @@
       sweep();
       return;
     }
+    if (message instanceof QuotaServiceMessage.LookUp) {
+      decide(new SeatEvent.Missed(context.clock().nowNanos()));
+      return;
+    }
     decide(seatEvent(message));
   }
 
@@ -343,8 +363,8 @@
       write(write);
       return;
     }
-    if (effect instanceof SeatEffect.Seated) {
-      seated();
+    if (effect instanceof SeatEffect.Seated seated) {
+      seated(seated.first());
       return;
     }
     logger.atWarning().log("event=quota-keeper-lost node=%s", self.node());
@@ -364,9 +384,10 @@
                     .send(new QuotaServiceMessage.SeatWritten(write.seat(), sentNanos, version)));
   }
 
-  private void seated() {
-    logger.atInfo().log("event=quota-keeper node=%s", self.node());
-    kept = QuotaBuckets.emptyAt(context.clock().nowNanos());
+  private void seated(boolean first) {
+    logger.atInfo().log("event=quota-keeper node=%s first=%s", self.node(), first);
+    long nowNanos = context.clock().nowNanos();
+    kept = first ? QuotaBuckets.fullAt(nowNanos) : QuotaBuckets.emptyAt(nowNanos);
     context
         .registry()
         .find(TimerService.NAME)
--- a/node/src/main/java/org/clementinepost/node/quota/QuotaServiceMessage.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaServiceMessage.java
@@ -36,6 +36,9 @@
   record SeatWritten(Seat seat, long sentNanos, Either<Failure, Long> version)
       implements QuotaServiceMessage {}
 
+  /** It is time to find the keeper. */
+  record LookUp() implements QuotaServiceMessage {}
+
   /** It is time to look after questions without an answer. */
   record Sweep() implements QuotaServiceMessage {}
 
--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -41,6 +41,11 @@
           state,
           refused(admit, Failure.of(ResultCode.BACKEND_SERVER_FAILING, admit.server().value())));
     }
+    if (looksForProven(admit) && !server.get().health().proven(admit.nowNanos())) {
+      return Step.to(
+          state,
+          refused(admit, Failure.of(ResultCode.BACKEND_SERVER_UNPROVEN, admit.server().value())));
+    }
     if (hasRoom(state, server.get(), admit.nowNanos())) {
       return admitted(state, server.get(), admit, admit.nowNanos());
     }
@@ -93,6 +98,18 @@
     return !admit.head().idempotent() || !server.health().trialDue(admit.nowNanos());
   }
 
+  /**
+   * Whether a request rather goes where another was answered well a moment ago.
+   *
+   * <p>A request that may run once only is lost when it is the first that a server fails. Fewer are
+   * lost when such requests keep to few servers, and others prove the rest.
+   */
+  private static boolean looksForProven(HostEvent.Admit admit) {
+    return !admit.head().idempotent()
+        && insistence(admit) == Insistence.FREE_SLOT
+        && admit.head().handling().targetMillis() > 0;
+  }
+
   private static boolean hasRoom(HostState state, HostedServer server, long nowNanos) {
     if (server.busySlots() >= server.announcement().slots()) {
       return false;
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.RequestHead;
@@ -32,7 +33,12 @@
    */
   record Ended(
       long admission, Option<Failure> failure, int status, long serverMicros, long nowNanos)
-      implements HostEvent {}
+      implements HostEvent {
+    /** When the request was sent to the backend server. */
+    long sentNanos() {
+      return nowNanos - TimeUnit.MICROSECONDS.toNanos(serverMicros);
+    }
+  }
 
   /**
    * The node is stopping.
--- a/policy/src/main/java/org/clementinepost/policy/host/HostState.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostState.java
@@ -95,7 +95,9 @@
 
   private static HostedServer judged(HostedServer server, HostEvent.Ended ended) {
     return HealthPolicy.verdict(ended)
-        .map(good -> server.with(server.health().answered(good, ended.nowNanos())))
+        .map(
+            good ->
+                server.with(server.health().answered(good, ended.sentNanos(), ended.nowNanos())))
         .getOrElse(server);
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
@@ -24,7 +24,7 @@
 
   /** A backend server that announces itself for the first time. */
   static HostedServer of(Announcement announcement, long nowNanos) {
-    return new HostedServer(announcement, nowNanos, 0, 0, Vector.empty(), ServerHealth.GOOD)
+    return new HostedServer(announcement, nowNanos, 0, 0, Vector.empty(), ServerHealth.UNPROVEN)
         .announced(announcement, nowNanos);
   }
 
--- a/policy/src/main/java/org/clementinepost/policy/host/ServerHealth.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/ServerHealth.java
@@ -12,15 +12,26 @@
  * @param suspected whether it is held back
  * @param goodTrials the answers in a row that were good while it was suspected
  * @param nextTrialNanos when the next trial may be sent
+ * @param provenNanos when the last request was sent to it that it answered well
  */
-record ServerHealth(boolean suspected, int goodTrials, long nextTrialNanos) {
+record ServerHealth(boolean suspected, int goodTrials, long nextTrialNanos, long provenNanos) {
   private static final int GOOD_TRIALS_TO_CLEAR = 2;
   private static final long TRIAL_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** How long a trial may go without an answer before another is sent. */
   private static final long TRIAL_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  static final ServerHealth GOOD = new ServerHealth(false, 0, 0);
+  /** How long a good answer speaks for a server. */
+  private static final long PROVEN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
+
+  static final ServerHealth UNPROVEN = new ServerHealth(false, 0, 0, NEVER_NANOS);
+
+  /** Whether it has answered well of late. */
+  boolean proven(long nowNanos) {
+    return !suspected && nowNanos - provenNanos < PROVEN_NANOS;
+  }
 
   boolean trialDue(long nowNanos) {
     return nowNanos >= nextTrialNanos;
@@ -28,16 +39,24 @@
 
   /** A trial has been sent; the next one waits for its answer. */
   ServerHealth tried(long nowNanos) {
-    return suspected ? new ServerHealth(true, goodTrials, nowNanos + TRIAL_PATIENCE_NANOS) : this;
+    return suspected
+        ? new ServerHealth(true, goodTrials, nowNanos + TRIAL_PATIENCE_NANOS, provenNanos)
+        : this;
   }
 
-  ServerHealth answered(boolean good, long nowNanos) {
+  /**
+   * An answer has come.
+   *
+   * @param sentNanos when its request was sent
+   */
+  ServerHealth answered(boolean good, long sentNanos, long nowNanos) {
     if (!good) {
-      return new ServerHealth(true, 0, nowNanos + TRIAL_GAP_NANOS);
+      return new ServerHealth(true, 0, nowNanos + TRIAL_GAP_NANOS, provenNanos);
     }
+    long proven = Math.max(provenNanos, sentNanos);
     if (!suspected || goodTrials + 1 >= GOOD_TRIALS_TO_CLEAR) {
-      return GOOD;
+      return new ServerHealth(false, 0, 0, proven);
     }
-    return new ServerHealth(true, goodTrials + 1, nowNanos);
+    return new ServerHealth(true, goodTrials + 1, nowNanos, proven);
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/quota/QuotaBuckets.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/QuotaBuckets.java
@@ -3,23 +3,32 @@
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.CustomerId;
 import org.clementinepost.api.config.Customer;
 
 /**
  * The tokens of every customer, as far as one node may give them out.
  *
- * <p>Every bucket is empty at the start: whoever gave out tokens before has left none.
+ * <p>Every bucket is empty at the start, unless nobody gave out tokens before: whoever did has left
+ * none.
  *
  * @param buckets those that have been asked for
  * @param startNanos when this node began to give them out
  */
 public record QuotaBuckets(Map<CustomerId, TokenBucket> buckets, long startNanos) {
+  private static final long LONG_ENOUGH_TO_FILL_NANOS = TimeUnit.HOURS.toNanos(1);
+
   /** All buckets, empty as of a moment. */
   public static QuotaBuckets emptyAt(long nowNanos) {
     return new QuotaBuckets(HashMap.empty(), nowNanos);
   }
 
+  /** All buckets, full as of a moment, for the first that ever gives out tokens. */
+  public static QuotaBuckets fullAt(long nowNanos) {
+    return new QuotaBuckets(HashMap.empty(), nowNanos - LONG_ENOUGH_TO_FILL_NANOS);
+  }
+
   private TokenBucket bucket(CustomerId customer) {
     return buckets.getOrElse(customer, new TokenBucket(0, startNanos));
   }
--- a/policy/src/main/java/org/clementinepost/policy/quota/SeatEffect.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/SeatEffect.java
@@ -8,8 +8,12 @@
   /** Writes the seat's row, if it still has a version. */
   record Write(Seat seat, long expectedVersion) implements SeatEffect {}
 
-  /** This node has become the keeper, and gives out tokens from empty buckets. */
-  record Seated() implements SeatEffect {}
+  /**
+   * This node has become the keeper.
+   *
+   * @param first whether nobody was before; all buckets are full then, and empty else
+   */
+  record Seated(boolean first) implements SeatEffect {}
 
   /** This node is the keeper no more. */
   record Unseated() implements SeatEffect {}
--- a/policy/src/main/java/org/clementinepost/policy/quota/SeatPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/SeatPolicy.java
@@ -84,7 +84,7 @@
     }
     boolean renewed = state.leaseNanos().isDefined();
     SeatState next = state.seated(own, written.version(), written.sentNanos());
-    return renewed ? Step.to(next) : Step.to(next, new SeatEffect.Seated());
+    return renewed ? Step.to(next) : Step.to(next, new SeatEffect.Seated(state.version() == 0));
   }
 
   private Step<SeatState, SeatEffect> ticked(SeatState state, long cautiousNanos) {
--- a/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -97,7 +97,7 @@
   }
 
   private void admit(String id) {
-    admit(id, false, 1, Insistence.FREE_SLOT);
+    admit(id, true, 1, Insistence.FREE_SLOT);
   }
 
   private static String text(Either<Failure, Admission> answer) {
@@ -165,7 +165,7 @@
     announce();
     admit("a");
     ended(1, 500);
-    admit("write");
+    admit("write", false, 1, Insistence.FREE_SLOT);
     admit("early", true, 1, Insistence.FREE_SLOT);
     nowMillis += 500;
     admit("trial", true, 1, Insistence.FREE_SLOT);
@@ -189,10 +189,24 @@
     ended(2, 200);
     admit("another", true, 1, Insistence.FREE_SLOT);
     ended(3, 200);
-    admit("write");
+    admit("write", false, 1, Insistence.FREE_SLOT);
     assertThat(answers).endsWith("write ok");
   }
 
+  @Test
+  void aRequestThatMayRunOnceOnlyLooksForAServerThatAnsweredWellOfLate() {
+    announce();
+    admit("early", false, 1, Insistence.FREE_SLOT);
+    admit("waits", false, 1, Insistence.WAITS);
+    assertThat(answers).containsExactly("early BACKEND_SERVER_UNPROVEN", "waits ok");
+    ended(1, 200);
+    admit("proven", false, 1, Insistence.FREE_SLOT);
+    assertThat(answers).endsWith("proven ok");
+    nowMillis += 1_500;
+    admit("late", false, 1, Insistence.FREE_SLOT);
+    assertThat(answers).endsWith("late BACKEND_SERVER_UNPROVEN");
+  }
+
   @Test
   void aFailingServerIsBetterThanNone() {
     announce();
--- a/policy/src/test/java/org/clementinepost/policy/quota/SeatPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/quota/SeatPolicyTest.java
@@ -31,7 +31,7 @@
     assertThat(step.effects()).containsExactly(new SeatEffect.Write(FIRST, 0));
     Step<SeatState, SeatEffect> written =
         first.decide(step.state(), new SeatEvent.Written(7, at(0)));
-    assertThat(written.effects()).containsExactly(new SeatEffect.Seated());
+    assertThat(written.effects()).containsExactly(new SeatEffect.Seated(true));
     assertThat(first.isKeeper(written.state(), at(100))).isTrue();
   }
 
@@ -81,6 +81,8 @@
     Step<SeatState, SeatEffect> step =
         restarted.decide(SeatState.unknown(), new SeatEvent.Read(Option.some(FIRST), 7, at(0)));
     assertThat(step.effects()).containsExactly(new SeatEffect.Write(restarted.own(), 7));
+    assertThat(restarted.decide(step.state(), new SeatEvent.Written(8, at(0))).effects())
+        .containsExactly(new SeatEffect.Seated(false));
   }
 
   @Test
