Bound the retries of the whole fleet; a request that was shed is not forced upon another server

Each node could save up ten retries, 270 in the fleet; and a request that a backend server had shed twice was sent again as a last resort.

--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -144,6 +144,11 @@
     return Mono.create(sink -> address.send(question.apply(sink::success)));
   }
 
+  /** Takes over what may change while the node runs: the service that runs on this VM. */
+  void reload(NodeSettings changed) {
+    kernel.find(EdgeService.NAME).send(new EdgeMessage.Reloaded(changed));
+  }
+
   /**
    * Stops the node as planned: it takes no new requests, ends those in hand, and goes.
    *
--- a/node/src/main/java/org/clementinepost/node/NodeMain.java
+++ b/node/src/main/java/org/clementinepost/node/NodeMain.java
@@ -19,12 +19,15 @@
 import org.clementinepost.storage.config.source.Finding;
 import reactor.core.publisher.Mono;
 import reactor.netty.ChannelBindException;
+import sun.misc.Signal;
 
 /** The binary {@code clementinepost}: runs one node until it is told to stop. */
 public final class NodeMain {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  private static final String RELOAD_SIGNAL = "HUP";
+
   private final PrintWriter out;
   private final PrintWriter err;
 
@@ -95,7 +98,7 @@
     if (line.action() == NodeCommandLine.Action.CHECK) {
       return print("settings are in order");
     }
-    return start(settings.get(), backing.get());
+    return start(line.settingsFile(), settings.get(), backing.get());
   }
 
   private static String line(Finding finding) {
@@ -127,10 +130,11 @@
         .map(Backing::tableAndObjects);
   }
 
-  private int start(NodeSettings settings, Backing backing) {
+  private int start(String settingsFile, NodeSettings settings, Backing backing) {
     try {
       Node node = Node.start(settings, backing, System.currentTimeMillis());
       Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "node-stop"));
+      Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reload(node, settingsFile));
       NodePorts ports = node.ports().block();
       logger.atInfo().log(
           "event=node-started node=%s incarnation=%d",
@@ -143,6 +147,21 @@
     }
   }
 
+  /** A file that cannot be read changes nothing. */
+  private static void reload(Node node, String settingsFile) {
+    NodeSettingsReader.read(Path.of(settingsFile))
+        .peek(
+            settings -> {
+              logger.atInfo().log("event=settings-reloaded node=%s", settings.node());
+              node.reload(settings);
+            })
+        .peekLeft(
+            findings ->
+                findings.forEach(
+                    finding ->
+                        logger.atWarning().log("event=settings-refused %s", finding.line())));
+  }
+
   private static ResultCode startFailure(Exception error) {
     boolean port = error.getCause() instanceof BindException || error instanceof BindException;
     return port || error instanceof ChannelBindException
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -49,7 +49,7 @@
   private final MonotonicClock clock;
   private final EdgeLimits limits;
   private final HttpDialect dialect;
-  private final RequestReader reader;
+  private volatile RequestReader reader;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final DisposableServer server;
   private volatile boolean stopping;
@@ -148,6 +148,10 @@
 
   @Override
   public void receive(EdgeMessage message) {
+    if (message instanceof EdgeMessage.Reloaded reloaded) {
+      reader = new RequestReader(dialect, reloaded.settings().localService());
+      return;
+    }
     if (message instanceof EdgeMessage.Farewell) {
       stopping = true;
       return;
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -186,7 +186,7 @@
       RequestHead head, UploadBody body, long deadlineNanos, Either<Failure, Answer> answer) {
     boolean refused =
         answer.isLeft()
-            && answer.getLeft().runState() == RunState.NOT_RUN
+            && !RetryPolicy.reachedServer(answer.getLeft())
             && head.handling().insistence() != Insistence.ANY_SERVER;
     if (!refused || body.started() || remainingMillis(deadlineNanos) <= 0) {
       return Mono.just(answer);
--- a/policy/src/main/java/org/clementinepost/policy/routing/RetryBudget.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RetryBudget.java
@@ -10,8 +10,11 @@
  */
 record RetryBudget(long milliTokens) {
   private static final long RETRY_MILLI_TOKENS = 1_000;
-  private static final long REQUEST_MILLI_TOKENS = 80;
-  private static final long CAP_MILLI_TOKENS = 10_000;
+  private static final long REQUEST_MILLI_TOKENS = 120;
+
+  /** All nodes of a small fleet together stay within the slack that the users allow. */
+  private static final long CAP_MILLI_TOKENS = 1_500;
+
 
   static final RetryBudget FULL = new RetryBudget(CAP_MILLI_TOKENS);
 
