Do not blame a backend server whose own call has failed

A server answers 500 when a call that it needs fails, so one failing server made healthy ones look sick, 16,886 requests were refused by their hosts and most went to a failing server as the last resort. Excluded: the quota (550 of 572 refusals are of the one hot customer, as they should be). Change: the node beside a server sees its calls; an error during which one of them failed says nothing. Routing leaves errors to the host and judges silence, slowness and paths. Trials come every 0.8 s.

--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -29,6 +29,8 @@
 import org.clementinepost.node.exchange.ExchangeMessage;
 import org.clementinepost.node.exchange.ExchangeService;
 import org.clementinepost.node.exchange.Exchanges;
+import org.clementinepost.node.host.HostMessage;
+import org.clementinepost.node.host.HostService;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
 import org.clementinepost.node.quota.QuotaService;
@@ -52,6 +54,7 @@
   /** What an ingress waits beyond the deadline that the host keeps itself. */
   private static final long HOST_GRACE_MILLIS = 20;
 
+  private static final int FIRST_ERROR_STATUS = 400;
   private static final Duration LOOK_UP_LIMIT = Duration.ofMillis(2_500);
 
   private final NodeId self;
@@ -59,6 +62,7 @@
   private final Scheduler scheduler;
   private final Address<AccessMessage> access;
   private final Address<QuotaServiceMessage> quota;
+  private final Address<HostMessage> host;
   private final Address<RoutingMessage> routing;
   private final Address<DirectoryMessage> directory;
   private final Address<ExchangeMessage> exchanges;
@@ -70,6 +74,7 @@
     this.scheduler = scheduler;
     this.access = registry.find(AccessService.NAME);
     this.quota = registry.find(QuotaService.NAME);
+    this.host = registry.find(HostService.NAME);
     this.routing = registry.find(RoutingService.NAME);
     this.directory = registry.find(DirectoryService.NAME);
     this.exchanges = registry.find(ExchangeService.NAME);
@@ -80,7 +85,20 @@
   Mono<Either<Failure, Answer>> run(ArrivedRequest request, UploadBody body) {
     Mono<Either<Failure, RequestHead>> admitted =
         Ask.of(access, reply -> new AccessMessage.Arrived(request, reply));
-    return Results.then(admitted, head -> withinQuota(head, body, deadlineNanos(head)));
+    return Results.then(
+        admitted,
+        head ->
+            withinQuota(head, body, deadlineNanos(head))
+                .doOnNext(answer -> tellFailedCall(head, answer)));
+  }
+
+  /** A backend server calls others without a key, through the node of its own VM. */
+  private void tellFailedCall(RequestHead head, Either<Failure, Answer> answer) {
+    boolean failed =
+        answer.fold(failure -> true, whole -> whole.head().status() >= FIRST_ERROR_STATUS);
+    if (failed && head.customer().isEmpty() && head.handling().caller().isDefined()) {
+      host.send(new HostMessage.CallFailed());
+    }
   }
 
   private Mono<Either<Failure, Answer>> withinQuota(
--- a/node/src/main/java/org/clementinepost/node/host/HostMessage.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostMessage.java
@@ -26,6 +26,9 @@
   /** The node is stopping; tells when the requests in hand have ended. */
   record Stop(Reply<Boolean> stopped) implements HostMessage {}
 
+  /** A call that a backend server of this VM made while it ran a request has failed. */
+  record CallFailed() implements HostMessage {}
+
   /** Time has passed. */
   record Tick() implements HostMessage {}
 
--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -83,6 +83,9 @@
     if (message instanceof HostMessage.Stop stop) {
       return new HostEvent.Stop(stop.stopped(), clock.nowNanos());
     }
+    if (message instanceof HostMessage.CallFailed) {
+      return new HostEvent.CallFailed(clock.nowNanos());
+    }
     return new HostEvent.Tick(clock.nowNanos());
   }
 
--- a/node/src/main/java/org/clementinepost/node/peer/TcpTransport.java
+++ b/node/src/main/java/org/clementinepost/node/peer/TcpTransport.java
@@ -53,6 +53,10 @@
 
   @Override
   public void send(byte[] frame) {
+    if (!connection.channel().isActive()) {
+      close();
+      return;
+    }
     ByteBuf buffer = connection.channel().alloc().buffer(frame.length).writeBytes(frame);
     connection
         .channel()
--- a/policy/src/main/java/org/clementinepost/policy/host/HealthPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HealthPolicy.java
@@ -10,14 +10,24 @@
 
   private HealthPolicy() {}
 
-  /** Whether the request ended well; none when its end says nothing of the backend server. */
-  static Option<Boolean> verdict(HostEvent.Ended ended) {
+  /**
+   * Whether the request ended well; none when its end says nothing of the backend server.
+   *
+   * <p>A server whose call to another one has failed can only fail as well.
+   *
+   * @param callFailedNanos when a call of the backend server last failed
+   */
+  static Option<Boolean> verdict(HostEvent.Ended ended, long callFailedNanos) {
     if (ended.failure().isDefined()) {
       return ofFailure(ended.failure().get());
     }
-    return ended.status() == 0
-        ? Option.none()
-        : Option.some(ended.status() < FIRST_SERVER_ERROR_STATUS);
+    if (ended.status() == 0) {
+      return Option.none();
+    }
+    if (ended.status() < FIRST_SERVER_ERROR_STATUS) {
+      return Option.some(true);
+    }
+    return callFailedNanos >= ended.sentNanos() ? Option.none() : Option.some(false);
   }
 
   /** A server that sheds load is busy rather than sick; a caller that left says nothing. */
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
@@ -47,6 +47,9 @@
    */
   record Stop(Reply<Boolean> stopped, long nowNanos) implements HostEvent {}
 
+  /** A call that a backend server of this VM made while it ran a request has failed. */
+  record CallFailed(long nowNanos) implements HostEvent {}
+
   /** Time has passed. */
   record Tick(long nowNanos) implements HostEvent {}
 
--- a/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
@@ -33,6 +33,9 @@
     if (event instanceof HostEvent.Ended ended) {
       return ended(state, ended);
     }
+    if (event instanceof HostEvent.CallFailed failed) {
+      return Step.to(state.withCallFailed(failed.nowNanos()));
+    }
     if (event instanceof HostEvent.Announced announced) {
       HostState next = AnnouncementPolicy.announced(state, announced);
       return published(state, admissions.proceed(next, announced.nowNanos()));
--- a/policy/src/main/java/org/clementinepost/policy/host/HostState.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostState.java
@@ -17,6 +17,7 @@
  * @param nextAdmission the number of the next admission
  * @param waiting the requests that wait for a slot, the most urgent first
  * @param snapshot the configuration in force
+ * @param callFailedNanos when a call of one of the backend servers last failed
  * @param stopped is told when a stopping host has nothing left to do; none while it works
  */
 public record HostState(
@@ -26,8 +27,11 @@
     long nextAdmission,
     Vector<WaitingRequest> waiting,
     Snapshot snapshot,
+    long callFailedNanos,
     Option<Reply<Boolean>> stopped) {
 
+  private static final long LONG_AGO_NANOS = Long.MIN_VALUE / 2;
+
   /** The state of a host that has just started. */
   public static HostState empty() {
     return new HostState(
@@ -37,6 +41,7 @@
         1,
         Vector.empty(),
         Snapshot.empty(),
+        LONG_AGO_NANOS,
         Option.none());
   }
 
@@ -45,24 +50,40 @@
   }
 
   HostState withServers(Map<BackendServerId, HostedServer> next) {
-    return new HostState(next, departed, admissions, nextAdmission, waiting, snapshot, stopped);
+    return new HostState(
+        next, departed, admissions, nextAdmission, waiting, snapshot, callFailedNanos, stopped);
   }
 
   HostState withDeparted(Map<BackendServerId, AnnouncementOrder> next) {
-    return new HostState(servers, next, admissions, nextAdmission, waiting, snapshot, stopped);
+    return new HostState(
+        servers, next, admissions, nextAdmission, waiting, snapshot, callFailedNanos, stopped);
   }
 
   HostState withSnapshot(Snapshot next) {
-    return new HostState(servers, departed, admissions, nextAdmission, waiting, next, stopped);
+    return new HostState(
+        servers, departed, admissions, nextAdmission, waiting, next, callFailedNanos, stopped);
   }
 
   HostState withWaiting(Vector<WaitingRequest> next) {
-    return new HostState(servers, departed, admissions, nextAdmission, next, snapshot, stopped);
+    return new HostState(
+        servers, departed, admissions, nextAdmission, next, snapshot, callFailedNanos, stopped);
+  }
+
+  HostState withCallFailed(long nowNanos) {
+    return new HostState(
+        servers, departed, admissions, nextAdmission, waiting, snapshot, nowNanos, stopped);
   }
 
   HostState withStopped(Reply<Boolean> next) {
     return new HostState(
-        servers, departed, admissions, nextAdmission, waiting, snapshot, Option.some(next));
+        servers,
+        departed,
+        admissions,
+        nextAdmission,
+        waiting,
+        snapshot,
+        callFailedNanos,
+        Option.some(next));
   }
 
   HostState admitted(HostedServer server) {
@@ -74,6 +95,7 @@
         nextAdmission + 1,
         waiting,
         snapshot,
+        callFailedNanos,
         stopped);
   }
 
@@ -90,11 +112,12 @@
         nextAdmission,
         waiting,
         snapshot,
+        callFailedNanos,
         stopped);
   }
 
-  private static HostedServer judged(HostedServer server, HostEvent.Ended ended) {
-    return HealthPolicy.verdict(ended)
+  private HostedServer judged(HostedServer server, HostEvent.Ended ended) {
+    return HealthPolicy.verdict(ended, callFailedNanos)
         .map(
             good ->
                 server.with(server.health().answered(good, ended.sentNanos(), ended.nowNanos())))
--- a/policy/src/main/java/org/clementinepost/policy/host/ServerHealth.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/ServerHealth.java
@@ -16,7 +16,7 @@
  */
 record ServerHealth(boolean suspected, int goodTrials, long nextTrialNanos, long provenNanos) {
   private static final int GOOD_TRIALS_TO_CLEAR = 2;
-  private static final long TRIAL_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long TRIAL_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
   /** How long a trial may go without an answer before another is sent. */
   private static final long TRIAL_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
--- a/policy/src/main/java/org/clementinepost/policy/routing/OutcomePolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/OutcomePolicy.java
@@ -6,12 +6,11 @@
 /**
  * Tells what the end of an attempt says of the backend server and what of the path to its host.
  *
- * <p>A refusal says nothing against either, nor does a caller that went away. An answer that is
- * wrong but has a good status cannot be told from a right one here.
+ * <p>An answer that tells of an error is judged by the host, which sees them all and knows whether
+ * the server's own calls have failed. A refusal says nothing against either, nor does a caller that
+ * went away. An answer that is wrong but has a good status cannot be told from a right one here.
  */
 final class OutcomePolicy {
-  private static final int FIRST_SERVER_ERROR_STATUS = 500;
-
   private OutcomePolicy() {}
 
   static Option<Outcome> ofServer(RoutingEvent.Ended ended, Reference reference) {
@@ -32,8 +31,7 @@
     if (status == 0) {
       return Option.none();
     }
-    return Option.some(
-        new Outcome(status >= FIRST_SERVER_ERROR_STATUS, reference.isSlow(serverMicros)));
+    return Option.some(new Outcome(false, reference.isSlow(serverMicros)));
   }
 
   /** A deadline that was too short for anyone is no failure of the backend server. */
--- a/policy/src/main/java/org/clementinepost/policy/routing/RetryBudget.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RetryBudget.java
@@ -10,11 +10,10 @@
  */
 record RetryBudget(long milliTokens) {
   private static final long RETRY_MILLI_TOKENS = 1_000;
-  private static final long REQUEST_MILLI_TOKENS = 120;
+  private static final long REQUEST_MILLI_TOKENS = 150;
 
   /** All nodes of a small fleet together stay within the slack that the users allow. */
-  private static final long CAP_MILLI_TOKENS = 1_500;
-
+  private static final long CAP_MILLI_TOKENS = 2_000;
 
   static final RetryBudget FULL = new RetryBudget(CAP_MILLI_TOKENS);
 
