--- a/node/src/main/java/org/clementinepost/node/directory/NodeRow.java
+++ b/node/src/main/java/org/clementinepost/node/directory/NodeRow.java
@@ -16,6 +16,7 @@
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
+import org.clementinepost.storage.rows.JsonFields;
 
 /**
  * What a node writes of itself into the nodes' table.
@@ -64,35 +65,19 @@
     Member member =
         new Member(
             node,
-            whole(root, INCARNATION),
-            NetworkAddress.parse(text(root, PEER)),
-            new FailureDomainId(text(root, DOMAIN)));
+            JsonFields.whole(root, INCARNATION),
+            NetworkAddress.parse(JsonFields.text(root, PEER)),
+            new FailureDomainId(JsonFields.text(root, DOMAIN)));
     return new NodeRow(
         member, Vector.ofAll(root.path(SERVERS)).map(server -> endpoint(member, server)));
   }
 
   private static Endpoint endpoint(Member member, JsonNode server) {
     return new Endpoint(
-        new BackendServerId(text(server, SERVER_ID)),
-        new ServiceId(text(server, SERVICE)),
+        new BackendServerId(JsonFields.text(server, SERVER_ID)),
+        new ServiceId(JsonFields.text(server, SERVICE)),
         member.node(),
         member.domain(),
-        (int) whole(server, SLOTS));
-  }
-
-  private static String text(JsonNode node, String field) {
-    JsonNode value = node.path(field);
-    if (!value.isTextual() || value.asText().isEmpty()) {
-      throw new IllegalArgumentException(field + " must be a text");
-    }
-    return value.asText();
-  }
-
-  private static long whole(JsonNode node, String field) {
-    JsonNode value = node.path(field);
-    if (!value.isIntegralNumber()) {
-      throw new IllegalArgumentException(field + " must be a whole number");
-    }
-    return value.asLong();
+        JsonFields.count(server, SLOTS, 1));
   }
 }
--- a/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
@@ -19,7 +19,6 @@
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
-import org.clementinepost.kernel.Step;
 import org.clementinepost.kernel.SuspendProofClock;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
@@ -29,15 +28,8 @@
 import org.clementinepost.node.peer.PeerServiceMessage;
 import org.clementinepost.policy.quota.EmergencyAllowance;
 import org.clementinepost.policy.quota.QuotaBuckets;
-import org.clementinepost.policy.quota.Seat;
-import org.clementinepost.policy.quota.SeatEffect;
 import org.clementinepost.policy.quota.SeatEvent;
-import org.clementinepost.policy.quota.SeatPolicy;
-import org.clementinepost.policy.quota.SeatState;
-import org.clementinepost.storage.rows.Row;
-import org.clementinepost.storage.rows.RowPage;
 import org.clementinepost.storage.rows.RowStore;
-import org.clementinepost.storage.rows.RowWrite;
 
 /**
  * Gives requests a token of their customer's rate and burst.
@@ -61,11 +53,9 @@
 
   private final TaskContext<QuotaServiceMessage> context;
   private final Member self;
-  private final RowStore store;
   private final SuspendProofClock cautious;
-  private final SeatPolicy policy;
+  private final Seating seating;
   private final EmergencyAllowance allowance;
-  private SeatState seat = SeatState.unknown();
   private Snapshot snapshot = Snapshot.empty();
   private int nodes = 1;
   private QuotaBuckets kept;
@@ -80,10 +70,9 @@
       EmergencyAllowance allowance) {
     this.context = context;
     this.self = self;
-    this.store = store;
     this.allowance = allowance;
     this.cautious = new SuspendProofClock(context.clock());
-    this.policy = new SeatPolicy(new Seat(self.node(), self.incarnation()));
+    this.seating = new Seating(context, self, store, cautious, this::seated, this::unseated);
     this.kept = QuotaBuckets.emptyAt(context.clock().nowNanos());
     this.emergency = QuotaBuckets.emptyAt(context.clock().nowNanos());
     context
@@ -161,12 +150,10 @@
 
   private SeatEvent seatEvent(QuotaServiceMessage message) {
     if (message instanceof QuotaServiceMessage.SeatRead read) {
-      return read.page().fold(this::seatFailed, this::seatRead);
+      return Seating.read(read.page(), context.clock().nowNanos());
     }
     if (message instanceof QuotaServiceMessage.SeatWritten written) {
-      return written
-          .version()
-          .fold(this::seatFailed, version -> new SeatEvent.Written(version, written.sentNanos()));
+      return Seating.written(written);
     }
     if (message instanceof QuotaServiceMessage.Leave) {
       return new SeatEvent.Leave();
@@ -174,27 +161,13 @@
     return new SeatEvent.Tick(cautious.nowNanos());
   }
 
-  private SeatEvent seatFailed(Failure failure) {
-    logger.atInfo().log(
-        "event=quota-seat-unknown code=%d detail=%s", failure.code().number(), failure.detail());
-    return new SeatEvent.Failed();
-  }
-
-  private SeatEvent seatRead(RowPage page) {
-    Option<Row> row = page.rows().find(candidate -> candidate.key().equals(SeatRow.KEY));
-    return new SeatEvent.Read(
-        row.flatMap(Row::value).flatMap(SeatRow::read),
-        row.map(Row::version).getOrElse(0L),
-        context.clock().nowNanos());
-  }
-
   private void take(QuotaServiceMessage.Take take) {
     Option<Customer> customer = customer(take.head());
     if (customer.isEmpty()) {
       take.reply().send(Either.right(take.head()));
       return;
     }
-    if (policy.isKeeper(seat, cautious.nowNanos())) {
+    if (seating.isKeeper()) {
       takeKept(customer.get(), take.head(), take.reply());
       return;
     }
@@ -205,7 +178,7 @@
     if (pending.size() == 1) {
       sweepSoon();
     }
-    if (keeper().isEmpty()) {
+    if (seating.keeper().isEmpty()) {
       decide(new SeatEvent.Missed(context.clock().nowNanos()));
       return;
     }
@@ -235,14 +208,8 @@
     reply.send(Either.left(Failure.of(code)));
   }
 
-  private Option<NodeId> keeper() {
-    return seat.seat()
-        .filter(known -> !known.equals(Seat.vacant()) && !known.equals(policy.own()))
-        .map(Seat::node);
-  }
-
   private void ask(long ask, PendingAsk waiting) {
-    for (NodeId node : keeper()) {
+    for (NodeId node : seating.keeper()) {
       pending = pending.put(ask, waiting.asAsked());
       send(node, new QuotaPeerMessage.Ask(ask, waiting.head().customer().get()));
     }
@@ -277,7 +244,7 @@
   }
 
   private QuotaPeerMessage answer(QuotaPeerMessage.Ask ask) {
-    if (!policy.isKeeper(seat, cautious.nowNanos())) {
+    if (!seating.isKeeper()) {
       return new QuotaPeerMessage.Answer(ask.ask(), false, false, 0);
     }
     Option<Customer> customer = snapshot.customers().get(ask.customer()).filter(Customer::limited);
@@ -341,49 +308,18 @@
   }
 
   private void decide(SeatEvent event) {
-    Step<SeatState, SeatEffect> step = policy.decide(seat, event);
-    Option<NodeId> before = keeper();
-    seat = step.state();
-    step.effects().forEach(this::handle);
-    if (!before.equals(keeper())) {
+    if (seating.decide(event)) {
       pending
           .filterValues(waiting -> !waiting.asked())
           .forEach((ask, waiting) -> ask(ask, waiting));
     }
   }
 
-  private void handle(SeatEffect effect) {
-    if (effect instanceof SeatEffect.Read) {
-      store
-          .read(SeatRow.TABLE)
-          .subscribe(page -> context.self().send(new QuotaServiceMessage.SeatRead(page)));
-      return;
-    }
-    if (effect instanceof SeatEffect.Write write) {
-      write(write);
-      return;
-    }
-    if (effect instanceof SeatEffect.Seated seated) {
-      seated(seated.first());
-      return;
-    }
+  private void unseated() {
     logger.atWarning().log("event=quota-keeper-lost node=%s", self.node());
     context.registry().find(TimerService.NAME).send(new TimerService.Cancel(NAME.text()));
   }
 
-  private void write(SeatEffect.Write write) {
-    long sentNanos = cautious.nowNanos();
-    RowWrite row =
-        new RowWrite(SeatRow.KEY, Option.some(SeatRow.text(write.seat())), write.expectedVersion());
-    store
-        .write(SeatRow.TABLE, row)
-        .subscribe(
-            version ->
-                context
-                    .self()
-                    .send(new QuotaServiceMessage.SeatWritten(write.seat(), sentNanos, version)));
-  }
-
   private void seated(boolean first) {
     logger.atInfo().log("event=quota-keeper node=%s first=%s", self.node(), first);
     long nowNanos = context.clock().nowNanos();
--- a/platform/src/main/java/org/clementinepost/platform/JsonFields.java
+++ b/storage/src/main/java/org/clementinepost/storage/rows/JsonFields.java
@@ -1,13 +1,18 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage.rows;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Option;
 
-/** Reads fields that must be there and of the right type. */
-final class JsonFields {
+/**
+ * Reads fields that must be there and of the right type.
+ *
+ * <p>A field that is not gives an {@link IllegalArgumentException} that names it.
+ */
+public final class JsonFields {
   private JsonFields() {}
 
-  static String text(JsonNode node, String field) {
+  /** A text that is not empty. */
+  public static String text(JsonNode node, String field) {
     JsonNode value = node.path(field);
     if (!value.isTextual() || value.asText().isEmpty()) {
       throw new IllegalArgumentException(field + " must be a text");
@@ -15,7 +20,8 @@
     return value.asText();
   }
 
-  static long whole(JsonNode node, String field) {
+  /** A whole number. */
+  public static long whole(JsonNode node, String field) {
     JsonNode value = node.path(field);
     if (!value.isIntegralNumber() || !value.canConvertToLong()) {
       throw new IllegalArgumentException(field + " must be a whole number");
@@ -23,7 +29,8 @@
     return value.asLong();
   }
 
-  static int count(JsonNode node, String field, int min) {
+  /** A whole number of a least value or more. */
+  public static int count(JsonNode node, String field, int min) {
     long value = whole(node, field);
     if (value < min || value > Integer.MAX_VALUE) {
       throw new IllegalArgumentException(field + " is out of its bounds");
@@ -31,7 +38,8 @@
     return (int) value;
   }
 
-  static double number(JsonNode node, String field) {
+  /** A number of zero or more. */
+  public static double number(JsonNode node, String field) {
     JsonNode value = node.path(field);
     if (!value.isNumber() || value.asDouble() < 0) {
       throw new IllegalArgumentException(field + " must be a number of zero or more");
@@ -39,15 +47,8 @@
     return value.asDouble();
   }
 
-  static boolean flag(JsonNode node, String field) {
-    JsonNode value = node.path(field);
-    if (!value.isBoolean()) {
-      throw new IllegalArgumentException(field + " must be true or false");
-    }
-    return value.asBoolean();
-  }
-
-  static JsonNode list(JsonNode node, String field) {
+  /** A list. */
+  public static JsonNode list(JsonNode node, String field) {
     JsonNode value = node.path(field);
     if (!value.isArray()) {
       throw new IllegalArgumentException(field + " must be a list");
@@ -56,7 +57,7 @@
   }
 
   /** A field that may be left out, but not be of another type. */
-  static Option<JsonNode> optional(JsonNode node, String field) {
+  public static Option<JsonNode> optional(JsonNode node, String field) {
     JsonNode value = node.path(field);
     return value.isMissingNode() || value.isNull() ? Option.none() : Option.some(value);
   }
