--- a/testing/src/main/java/org/clementinepost/testing/rows/MeshRehearsalMain.java
+++ b/testing/src/main/java/org/clementinepost/testing/rows/MeshRehearsalMain.java
@@ -80,6 +80,7 @@
         .send((request, outbound) -> outbound.sendString(Mono.just("body")))
         .responseSingle(
             (response, content) -> content.asByteArray().then(Mono.just(response.status().code())))
+        .timeout(REQUEST_TIMEOUT)
         .onErrorResume(error -> Mono.empty());
   }
 }
