Doubt a silent connection after a second; nobody waits for an absent node

Cause: a cut between two nodes showed after 2 to 2.5 s on a connection in use, and each request that was placed there meanwhile waited for it; while the cut lasted, requests waited a second for each new dial.

Change: after 1 s without a word a connection takes nothing new and gives back what can be repeated; what cannot stays until 3 s. A node that was not reached is dialed in the background, at most every 0.3 s, and requests for it are told at once that it is unreachable. Pings are sent only while nothing is heard.

Excluded: ending everything after 1 s, which would turn requests that run once into failures where a machine was merely slow.

--- a/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
@@ -16,7 +16,15 @@
 final class OpenedStreams implements StreamRole {
   /** One request that has not ended; its receiver is there once the answer's head has come. */
   private record Opened(
-      BodySender request, Option<BodyReceiver> answer, Reply<Either<Failure, Answer>> reply) {}
+      boolean repeatable,
+      BodySender request,
+      Option<BodyReceiver> answer,
+      Reply<Either<Failure, Answer>> reply) {
+
+    Opened answeredBy(BodyReceiver receiver) {
+      return new Opened(repeatable, request, Option.some(receiver), reply);
+    }
+  }
 
   private final Address<ConnectionMessage> self;
   private final Consumer<PeerMessage> wire;
@@ -31,7 +39,8 @@
   private void open(ConnectionMessage.Open open) {
     long streamId = nextStreamId++;
     BodySender request = new BodySender(streamId, open.body(), self);
-    streams = streams.put(streamId, new Opened(request, Option.none(), open.reply()));
+    Opened opened = new Opened(open.head().idempotent(), request, Option.none(), open.reply());
+    streams = streams.put(streamId, opened);
     wire.accept(new StreamMessage.Open(streamId, open.server(), open.head()));
     open.cancelled()
         .subscribe(
@@ -75,10 +84,7 @@
       return;
     }
     BodyReceiver receiver = new BodyReceiver(answered.streamId(), self);
-    streams =
-        streams.put(
-            answered.streamId(),
-            new Opened(opened.request(), Option.some(receiver), opened.reply()));
+    streams = streams.put(answered.streamId(), opened.answeredBy(receiver));
     opened.reply().send(Either.right(new Answer(answered.head(), receiver.body())));
   }
 
@@ -145,6 +151,17 @@
     return streams.isEmpty();
   }
 
+  @Override
+  public void endRepeatable(Failure failure) {
+    streams
+        .filterValues(opened -> opened.repeatable() && opened.answer().isEmpty())
+        .forEach(
+            (streamId, opened) -> {
+              cancel(streamId);
+              opened.reply().send(Either.left(failure));
+            });
+  }
+
   @Override
   public void endAll(Failure failure) {
     Map<Long, Opened> ended = streams;
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -25,17 +25,18 @@
 /**
  * The task of one connection between two nodes; it alone writes to the socket.
  *
- * <p>A connection that carries streams or is kept, and on which nothing arrives for {@link
- * #SILENCE_LIMIT_NANOS}, is closed, so that a frozen or cut-off peer does not hold requests until
- * their deadline. Any other connection costs no message, and is closed when nothing was said on it
- * for long.
+ * <p>A connection that carries streams or is kept falls into doubt when nothing arrives on it for
+ * {@link #DOUBT_NANOS}: it takes no more streams, and gives back those that can be repeated
+ * elsewhere. The others may still be answered, until {@link #SILENCE_LIMIT_NANOS} have passed. Any
+ * other connection costs no message, and is closed when nothing was said on it for long.
  */
 final class PeerConnection implements Behaviour<ConnectionMessage> {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final NodeId UNKNOWN_PEER = new NodeId("");
-  private static final long PING_MILLIS = 500;
-  private static final int TICKS_PER_KEPT_PING = 2;
-  private static final long SILENCE_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+  private static final long TICK_MILLIS = 250;
+  private static final int TICKS_PER_KEPT_PING = 4;
+  private static final long DOUBT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+  private static final long SILENCE_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
   private static final long OPENER_IDLE_LIMIT_NANOS = TimeUnit.MINUTES.toNanos(5);
   private static final long ACCEPTOR_IDLE_LIMIT_NANOS = TimeUnit.MINUTES.toNanos(15);
 
@@ -54,6 +55,7 @@
   private long lastSaidNanos;
   private long watchedSinceNanos;
   private long ticks;
+  private boolean doubted;
   private boolean closed;
 
   private PeerConnection(
@@ -90,8 +92,8 @@
         .send(
             new TimerService.Every(
                 timerName,
-                PING_MILLIS,
-                PING_MILLIS,
+                TICK_MILLIS,
+                TICK_MILLIS,
                 () -> context.self().send(new ConnectionMessage.Tick())));
   }
 
@@ -199,22 +201,34 @@
     boolean watched = kept || !streams.isIdle();
     if (!watched) {
       watchedSinceNanos = nowNanos;
-      closeIfIdle(nowNanos);
+      closeIfIdle(doubted ? 0 : idleLimitNanos, nowNanos);
       return;
     }
-    if (nowNanos - Math.max(lastHeardNanos, watchedSinceNanos) > SILENCE_LIMIT_NANOS) {
+    long silenceNanos = nowNanos - Math.max(lastHeardNanos, watchedSinceNanos);
+    if (silenceNanos > SILENCE_LIMIT_NANOS) {
       logger.atWarning().log("event=peer-silent peer=%s", peer);
       end();
       return;
     }
+    if (silenceNanos > DOUBT_NANOS && !doubted) {
+      doubt();
+    }
     ticks++;
-    if (!streams.isIdle() || ticks % TICKS_PER_KEPT_PING == 0) {
+    boolean quiet = silenceNanos >= TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS);
+    if ((quiet && !streams.isIdle()) || ticks % TICKS_PER_KEPT_PING == 0) {
       write(new LinkMessage.Ping(ticks));
     }
   }
 
-  private void closeIfIdle(long nowNanos) {
-    if (nowNanos - Math.max(lastHeardNanos, lastSaidNanos) > idleLimitNanos) {
+  private void doubt() {
+    doubted = true;
+    logger.atWarning().log("event=peer-doubted peer=%s", peer);
+    owner.send(new PeerServiceMessage.Doubted(context.self()));
+    streams.endRepeatable(Failure.of(ResultCode.PEER_LOST, peer.map(NodeId::value).getOrElse("")));
+  }
+
+  private void closeIfIdle(long limitNanos, long nowNanos) {
+    if (nowNanos - Math.max(lastHeardNanos, lastSaidNanos) > limitNanos) {
       end();
     }
   }
--- a/node/src/main/java/org/clementinepost/node/peer/PeerService.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerService.java
@@ -46,6 +46,9 @@
   private static final long TICK_MILLIS = 250;
   private static final int MAX_WAITING_MESSAGES = 1_024;
 
+  /** The pause between two attempts to reach a node that was not reached. */
+  private static final long AWAY_DIAL_GAP_MILLIS = 300;
+
   private record Dial(Member member, SpawnedTask<ConnectionMessage> task) {}
 
   private final TaskContext<PeerServiceMessage> context;
@@ -58,6 +61,8 @@
   private KeptLinks kept = KeptLinks.none();
   private Map<NodeId, Dial> dialed = HashMap.empty();
   private Map<NodeId, Vector<ConnectionMessage>> dialing = HashMap.empty();
+  private Map<NodeId, Long> awayMillis = HashMap.empty();
+  private Map<Address<ConnectionMessage>, SpawnedTask<ConnectionMessage>> doubted = HashMap.empty();
   private Map<Address<ConnectionMessage>, SpawnedTask<ConnectionMessage>> accepted =
       HashMap.empty();
   private Map<NodeId, Address<ConnectionMessage>> greeted = HashMap.empty();
@@ -138,6 +143,10 @@
       greeted(greeting);
       return;
     }
+    if (message instanceof PeerServiceMessage.Doubted found) {
+      doubted(found.connection());
+      return;
+    }
     if (message instanceof PeerServiceMessage.Ended ended) {
       ended(ended.connection());
       return;
@@ -184,12 +193,31 @@
       undeliverable(message);
       return;
     }
-    dialing = dialing.put(to, waiting.getOrElse(Vector.empty()).append(message));
+    boolean away = awayMillis.containsKey(to);
+    if (away) {
+      undeliverable(message);
+    }
+    Vector<ConnectionMessage> more = away ? Vector.empty() : Vector.of(message);
+    if (waiting.isEmpty() && !mayDial(to)) {
+      return;
+    }
+    dialing = dialing.put(to, waiting.getOrElse(Vector.empty()).appendAll(more));
     if (waiting.isEmpty()) {
       dial(member.get());
     }
   }
 
+  /** Nobody waits for a node that was not reached of late; it is dialed for those that follow. */
+  private boolean mayDial(NodeId node) {
+    return awayMillis
+        .get(node)
+        .forAll(sinceMillis -> context.clock().nowMillis() - sinceMillis >= AWAY_DIAL_GAP_MILLIS);
+  }
+
+  private void away(NodeId node) {
+    awayMillis = awayMillis.put(node, context.clock().nowMillis());
+  }
+
   private static void undeliverable(ConnectionMessage message) {
     if (message instanceof ConnectionMessage.Open open) {
       open.reply().send(Either.left(Failure.of(ResultCode.PEER_UNREACHABLE)));
@@ -236,9 +264,11 @@
       logger.atInfo().log(
           "event=peer-unreachable peer=%s detail=%s", to, result.connection().getLeft().detail());
       waiting.forEach(PeerService::undeliverable);
+      away(to);
       linkDown(result.to());
       return;
     }
+    awayMillis = awayMillis.remove(to);
     SpawnedTask<ConnectionMessage> connection = spawn(result.connection().get(), true);
     dialed = dialed.put(to, new Dial(result.to(), connection));
     if (kept.contains(to)) {
@@ -275,7 +305,9 @@
 
   /** A connection to a process that another one has replaced is of no use any more. */
   private void members(Vector<Member> others) {
-    members = others.toMap(Member::node, member -> member);
+    Map<NodeId, Member> next = others.toMap(Member::node, member -> member);
+    awayMillis = awayMillis.filterKeys(node -> members.get(node).equals(next.get(node)));
+    members = next;
     dialed
         .valuesIterator()
         .filter(dial -> isReplaced(dial.member()))
@@ -306,9 +338,21 @@
     dialed.get(node).forEach(dial -> dial.task().address().send(message));
   }
 
+  /** Requests of which nobody knows whether they run may still be answered on the connection. */
+  private void doubted(Address<ConnectionMessage> connection) {
+    for (Dial dial : dialed.values().find(dial -> dial.task().address() == connection)) {
+      dialed = dialed.remove(dial.member().node());
+      doubted = doubted.put(connection, dial.task());
+      away(dial.member().node());
+      linkDown(dial.member());
+    }
+  }
+
   private void ended(Address<ConnectionMessage> connection) {
     accepted.get(connection).forEach(task -> task.stop().dispose());
     accepted = accepted.remove(connection);
+    doubted.get(connection).forEach(task -> task.stop().dispose());
+    doubted = doubted.remove(connection);
     greeted = greeted.filterValues(address -> address != connection);
     Option<Dial> lost = dialed.values().find(dial -> dial.task().address() == connection);
     for (Dial dial : lost) {
@@ -333,6 +377,7 @@
   public void stop() {
     server.disposeNow(Duration.ofMillis(100));
     dialed.values().forEach(dial -> dial.task().stop().dispose());
+    doubted.values().forEach(task -> task.stop().dispose());
     accepted.values().forEach(task -> task.stop().dispose());
   }
 }
--- a/node/src/main/java/org/clementinepost/node/peer/PeerServiceMessage.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerServiceMessage.java
@@ -53,6 +53,9 @@
   record Greeted(NodeId peer, Address<ConnectionMessage> connection)
       implements PeerServiceMessage {}
 
+  /** Nothing has come on a connection for a while; it is to take nothing new. */
+  record Doubted(Address<ConnectionMessage> connection) implements PeerServiceMessage {}
+
   /** A connection has ended. */
   record Ended(Address<ConnectionMessage> connection) implements PeerServiceMessage {}
 
--- a/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
@@ -180,6 +180,10 @@
     return streams.isEmpty();
   }
 
+  /** It is the side that opened a stream that can repeat it. */
+  @Override
+  public void endRepeatable(Failure failure) {}
+
   @Override
   public void endAll(Failure failure) {
     Map<Long, Served> ended = streams;
--- a/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
+++ b/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
@@ -14,6 +14,9 @@
   /** Whether no stream is open. */
   boolean isIdle();
 
+  /** Ends the streams without an answer so far that can be repeated on another connection. */
+  void endRepeatable(Failure failure);
+
   /** Ends every stream. */
   void endAll(Failure failure);
 }
