--- a/node/src/main/java/org/clementinepost/node/configuration/ConfigurationMessage.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/ConfigurationMessage.java
@@ -25,9 +25,9 @@
   /**
    * Operators' orders have been read, or have not.
    *
-   * @param asked when they were asked for
+   * @param askedNanos when they were asked for
    */
-  record Read(Confirmation asked, Either<Failure, OperatorPage> page)
+  record Read(long askedNanos, Either<Failure, OperatorPage> page)
       implements ConfigurationMessage {}
 
   /** It is time to ask the platform. */
--- a/node/src/main/java/org/clementinepost/node/configuration/WatchedConfigurationService.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/WatchedConfigurationService.java
@@ -25,14 +25,14 @@
 /**
  * Follows the operators' orders in a store that tells of changes, and tells the other services.
  *
- * <p>Each answer of the store confirms the configuration as of the moment at which the store was
- * asked. A configuration never goes back to an older version while the node runs.
+ * <p>Each answer of the store confirms the configuration as of the moment at which it was given. A
+ * configuration never goes back to an older version while the node runs.
  */
 public final class WatchedConfigurationService implements Behaviour<ConfigurationMessage> {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Two such waits, the longest time between two confirmations, fit into a key's withdrawal. */
-  private static final long WAIT_MILLIS = 2_000;
+  /** A wait, and what its answer may be late, fit into a key's withdrawal. */
+  private static final long WAIT_MILLIS = 3_400;
 
   private static final long RETRY_MILLIS = 250;
 
@@ -41,6 +41,7 @@
   private final OperatorFeed feed;
   private Option<Long> followed = Option.none();
   private Snapshot published = Snapshot.empty();
+  private StoreClock storeClock = StoreClock.UNKNOWN;
   private Set<FailureDomainId> domainsOut = HashSet.empty();
   private Snapshot current = Snapshot.empty();
   private boolean storeAway;
@@ -64,10 +65,10 @@
   }
 
   private void ask() {
-    Confirmation asked = new Confirmation(clock.nowNanos());
+    long askedNanos = clock.nowNanos();
     Mono<Either<Failure, OperatorPage>> answer =
         followed.map(version -> feed.changesSince(version, WAIT_MILLIS)).getOrElse(feed::read);
-    answer.subscribe(page -> context.self().send(new ConfigurationMessage.Read(asked, page)));
+    answer.subscribe(page -> context.self().send(new ConfigurationMessage.Read(askedNanos, page)));
   }
 
   @Override
@@ -83,7 +84,7 @@
       return;
     }
     if (message instanceof ConfigurationMessage.Read read) {
-      read.page().fold(this::failed, page -> read(read.asked(), page));
+      read.page().fold(this::failed, page -> read(read.askedNanos(), page));
     }
   }
 
@@ -111,7 +112,7 @@
     return null;
   }
 
-  private Void read(Confirmation asked, OperatorPage page) {
+  private Void read(long askedNanos, OperatorPage page) {
     if (storeAway) {
       storeAway = false;
       logger.atInfo().log("event=store-regained use=configuration");
@@ -137,11 +138,17 @@
           current.version(), domainsOut.mkString(","));
       listeners.forEach(listener -> listener.send(current));
     }
-    confirmed.forEach(listener -> listener.send(asked));
+    Confirmation confirmation = confirmation(askedNanos, page.storeMillis());
+    confirmed.forEach(listener -> listener.send(confirmation));
     ask();
     return null;
   }
 
+  private Confirmation confirmation(long askedNanos, long storeMillis) {
+    storeClock = storeClock.answered(askedNanos, storeMillis);
+    return new Confirmation(storeClock.givenNanos(askedNanos, clock.nowNanos(), storeMillis));
+  }
+
   private void apply(OperatorChange change) {
     if (change instanceof OperatorChange.Published next) {
       publish(next.snapshot());
--- a/testing/src/main/java/org/clementinepost/testing/rows/RowStoreStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/rows/RowStoreStandIn.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.Base64;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.clementinepost.api.NetworkAddress;
@@ -223,10 +224,14 @@
         node.put("tombstone", true);
       }
     }
-    root.put("hasMore", false).put("ver", version);
+    root.put("hasMore", false).put("ver", version).put("nowMs", nowMillis());
     return root.toString();
   }
 
+  private static long nowMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
   private Answer transact(byte[] body) {
     JsonNode root = read(body);
     StoredRows now = stored.get();
@@ -243,7 +248,7 @@
         Vector.ofAll(root.path("puts"))
             .map(node -> row(node, Option.some(node.path("value").asText())))
             .appendAll(Vector.ofAll(root.path("remove")).map(node -> row(node, Option.none())));
-    return new Answer(OK_STATUS, "{\"ver\":" + change(changes) + ",\"nowMs\":0}");
+    return new Answer(OK_STATUS, "{\"ver\":" + change(changes) + ",\"nowMs\":" + nowMillis() + "}");
   }
 
   private static StoredRow row(JsonNode node, Option<String> value) {
