Look at the backend server beside a node when the node starts

Cause: a node that restarts knows its backend server from the next announcement on, up to 1.5 s and a write later; until then it refuses what others send there as if the backend server were leaving, which keeps them away for 2 s.

Change: at its start a node asks the backend server of its VM for its health, a few times, until an announcement comes. What it finds counts less than any announcement. A host that has not heard of a backend server says so (3011) rather than that it is leaving. The ports of peers, announcements and operators are let go without blocking, which ended in an exception before the connections were closed.

Excluded: taking the backend server from the node's old row, which may name one that has been told to leave since.

--- a/api/src/main/java/org/clementinepost/api/ResultCode.java
+++ b/api/src/main/java/org/clementinepost/api/ResultCode.java
@@ -41,6 +41,8 @@
       3009, 503, 30, RunState.NOT_RUN, "The host holds back a backend server that fails"),
   BACKEND_SERVER_UNPROVEN(
       3010, 503, 30, RunState.NOT_RUN, "The backend server has answered nothing of late"),
+  BACKEND_SERVER_UNKNOWN(
+      3011, 503, 30, RunState.NOT_RUN, "The host has not heard of the backend server yet"),
   BACKEND_ANSWER_LOST(3101, 502, 31, RunState.UNKNOWN, "The backend server's answer was lost"),
   BACKEND_TIMED_OUT(3102, 504, 31, RunState.UNKNOWN, "No answer came before the deadline"),
 
--- a/kernel/src/main/java/org/clementinepost/kernel/Kernel.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Kernel.java
@@ -82,6 +82,12 @@
       return this;
     }
 
+    /** Adds services in their order. */
+    public Builder services(Iterable<ServiceDefinition<?>> more) {
+      definitions = definitions.appendAll(more);
+      return this;
+    }
+
     /** Starts the services. */
     public Kernel start() {
       Vector<ServiceDefinition<?>> all = definitions.prepend(TimerService.definition());
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -1,6 +1,7 @@
 package org.clementinepost.node;
 
 import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.function.Function;
 import org.clementinepost.api.Member;
@@ -14,9 +15,11 @@
 import org.clementinepost.kernel.Kernel;
 import org.clementinepost.kernel.Registry;
 import org.clementinepost.kernel.Reply;
+import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.node.access.AccessService;
 import org.clementinepost.node.announce.AnnounceMessage;
 import org.clementinepost.node.announce.AnnounceService;
+import org.clementinepost.node.announce.FirstLookService;
 import org.clementinepost.node.directory.DirectoryMessage;
 import org.clementinepost.node.directory.DirectoryService;
 import org.clementinepost.node.edge.EdgeMessage;
@@ -93,6 +96,7 @@
         .service(PeerService.definition(listener, Node::controlReceiver))
         .service(AccessService.definition(settings.keyWithdrawalMillis()))
         .service(AnnounceService.definition(settings.announce(), backing.announcements()))
+        .services(firstLook(settings, backing))
         .service(
             OperatorService.definition(
                 self, settings.operator(), backing.dialect().readinessPath()))
@@ -100,6 +104,23 @@
         .start();
   }
 
+  private static Option<ServiceDefinition<?>> firstLook(NodeSettings settings, Backing backing) {
+    return settings
+        .localServer()
+        .flatMap(
+            address ->
+                settings
+                    .localService()
+                    .flatMap(
+                        service ->
+                            backing
+                                .announcements()
+                                .healthReader()
+                                .map(
+                                    reader ->
+                                        FirstLookService.definition(address, service, reader))));
+  }
+
   private static ControlReceiver controlReceiver(Registry registry) {
     return (from, message) -> dispatch(registry, from, message);
   }
--- a/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.vavr.control.Option;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.ResultCode;
@@ -33,16 +34,18 @@
 
   /** The protocol of the product itself. */
   public static final AnnounceProtocol OWN_PROTOCOL =
-      new AnnounceProtocol(AnnouncementReader::read, ACCEPTED_STATUS, "");
+      new AnnounceProtocol(AnnouncementReader::read, ACCEPTED_STATUS, "", Option.none());
 
   private final AnnounceProtocol protocol;
   private final Address<HostMessage> host;
+  private final Address<FirstLookMessage> firstLook;
   private final DisposableServer server;
 
   private AnnounceService(
       TaskContext<AnnounceMessage> context, NetworkAddress address, AnnounceProtocol protocol) {
     this.protocol = protocol;
     this.host = context.registry().find(HostService.NAME);
+    this.firstLook = context.registry().find(FirstLookService.NAME);
     this.server =
         HttpServer.create()
             .host(address.host())
@@ -78,6 +81,7 @@
     if (!host.send(new HostMessage.Announced(announcement)).accepted()) {
       return refuse(response, Failure.of(ResultCode.NODE_OVERLOADED));
     }
+    firstLook.send(new FirstLookMessage.Announced());
     return response
         .status(protocol.acknowledgedStatus())
         .header(HttpHeaderNames.CONTENT_TYPE, JSON)
@@ -101,6 +105,6 @@
 
   @Override
   public void stop() {
-    server.disposeNow();
+    server.dispose();
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/announce/FirstLookService.java
@@ -0,0 +1,153 @@
+package org.clementinepost.node.announce;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ChannelOption;
+import io.vavr.control.Option;
+import java.time.Duration;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.kernel.TimerService;
+import org.clementinepost.node.configuration.ConfigurationMessage;
+import org.clementinepost.node.configuration.ConfigurationService;
+import org.clementinepost.node.host.HostMessage;
+import org.clementinepost.node.host.HostService;
+import org.clementinepost.policy.host.Announcement;
+import org.clementinepost.policy.host.HealthReader;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+
+/**
+ * Asks the backend server of this VM how it is when the node starts.
+ *
+ * <p>A node that restarts beside a running backend server serves at once, rather than from the next
+ * announcement on. It looks a few times only, and no more once an announcement has come.
+ */
+public final class FirstLookService implements Behaviour<FirstLookMessage> {
+  /** The name by which the service is found. */
+  public static final ServiceName<FirstLookMessage> NAME =
+      ServiceName.of("first-look", FirstLookMessage.class);
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MAX_LOOKS = 4;
+  private static final long GAP_MILLIS = 400;
+  private static final Duration PATIENCE = Duration.ofMillis(800);
+  private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
+  private final TaskContext<FirstLookMessage> context;
+  private final NetworkAddress address;
+  private final ServiceId service;
+  private final HealthReader reader;
+  private Option<String> healthPath = Option.none();
+  private int looks;
+  private boolean done;
+
+  private FirstLookService(
+      TaskContext<FirstLookMessage> context,
+      NetworkAddress address,
+      ServiceId service,
+      HealthReader reader) {
+    this.context = context;
+    this.address = address;
+    this.service = service;
+    this.reader = reader;
+    context
+        .registry()
+        .find(ConfigurationService.NAME)
+        .send(
+            new ConfigurationMessage.Subscribe(
+                snapshot -> context.self().send(new FirstLookMessage.Configured(snapshot))));
+  }
+
+  /**
+   * Defines the service.
+   *
+   * @param address where the backend server of this VM takes requests
+   * @param service the service that it answers for
+   * @param reader reads its answer
+   */
+  public static ServiceDefinition<FirstLookMessage> definition(
+      NetworkAddress address, ServiceId service, HealthReader reader) {
+    return new ServiceDefinition<>(
+        NAME,
+        ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
+        context -> new FirstLookService(context, address, service, reader));
+  }
+
+  @Override
+  public void receive(FirstLookMessage message) {
+    if (done) {
+      return;
+    }
+    if (message instanceof FirstLookMessage.Configured configured) {
+      configured(configured);
+      return;
+    }
+    if (message instanceof FirstLookMessage.Announced) {
+      done = true;
+      return;
+    }
+    if (message instanceof FirstLookMessage.Seen seen) {
+      seen(seen.found());
+      return;
+    }
+    look();
+  }
+
+  private void configured(FirstLookMessage.Configured configured) {
+    boolean first = healthPath.isEmpty();
+    healthPath = configured.snapshot().services().get(service).map(known -> known.healthPath());
+    if (first && healthPath.isDefined()) {
+      look();
+    }
+  }
+
+  private void look() {
+    if (healthPath.isEmpty()) {
+      return;
+    }
+    looks++;
+    HttpClient.newConnection()
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .get()
+        .uri("http://" + address + healthPath.get())
+        .responseSingle((response, body) -> body.then(Mono.just(read(response))))
+        .timeout(PATIENCE)
+        .onErrorResume(
+            error -> {
+              logger.atInfo().log("event=first-look-failed detail=%s", error.getMessage());
+              return Mono.just(Option.none());
+            })
+        .subscribe(found -> context.self().send(new FirstLookMessage.Seen(found)));
+  }
+
+  private Option<Announcement> read(HttpClientResponse response) {
+    return reader.read(
+        service,
+        address,
+        response.status().code(),
+        name -> Option.of(response.responseHeaders().get(name)));
+  }
+
+  private void seen(Option<Announcement> found) {
+    if (found.isDefined()) {
+      done = true;
+      logger.atInfo().log("event=first-look server=%s looks=%d", found.get().server(), looks);
+      context.registry().find(HostService.NAME).send(new HostMessage.Found(found.get()));
+      return;
+    }
+    done = looks >= MAX_LOOKS;
+    if (!done) {
+      context
+          .registry()
+          .find(TimerService.NAME)
+          .send(
+              new TimerService.Once(
+                  NAME.text(), GAP_MILLIS, () -> context.self().send(new FirstLookMessage.Look())));
+    }
+  }
+}
--- a/node/src/main/java/org/clementinepost/node/host/HostMessage.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostMessage.java
@@ -15,6 +15,9 @@
   /** A backend server has announced itself. */
   record Announced(Announcement announcement) implements HostMessage {}
 
+  /** A backend server that has not announced itself was found to take work. */
+  record Found(Announcement announcement) implements HostMessage {}
+
   /** A request asks to be sent to a backend server. */
   record Admit(BackendServerId server, RequestHead head, Reply<Either<Failure, Admission>> reply)
       implements HostMessage {}
--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -77,6 +77,9 @@
     if (message instanceof HostMessage.Announced announced) {
       return new HostEvent.Announced(announced.announcement(), clock.nowNanos());
     }
+    if (message instanceof HostMessage.Found found) {
+      return new HostEvent.Found(found.announcement(), clock.nowNanos());
+    }
     if (message instanceof HostMessage.Configured configured) {
       return new HostEvent.Configured(configured.snapshot());
     }
--- a/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
+++ b/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
@@ -145,6 +145,6 @@
 
   @Override
   public void stop() {
-    server.disposeNow();
+    server.dispose();
   }
 }
--- a/node/src/main/java/org/clementinepost/node/peer/PeerService.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerService.java
@@ -375,7 +375,7 @@
 
   @Override
   public void stop() {
-    server.disposeNow(Duration.ofMillis(100));
+    server.dispose();
     dialed.values().forEach(dial -> dial.task().stop().dispose());
     doubted.values().forEach(task -> task.stop().dispose());
     accepted.values().forEach(task -> task.stop().dispose());
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
@@ -21,6 +21,7 @@
  * @param embeddedObjectsFolder the objects that a platform kept in memory starts with
  * @param rowStore where the store of a platform with its own dialect is
  * @param localService the service that runs on this VM
+ * @param localServer where the backend server of this VM takes requests
  * @param keyWithdrawalMillis when a withdrawn key opens nothing any more; zero sets no limit
  * @param quotaTolerance how far the fleet may exceed a customer's rate and burst
  * @param farewellMillis how long a stopping node goes on taking callers
@@ -39,6 +40,7 @@
     Option<String> embeddedObjectsFolder,
     Option<NetworkAddress> rowStore,
     Option<ServiceId> localService,
+    Option<NetworkAddress> localServer,
     long keyWithdrawalMillis,
     EmergencyAllowance quotaTolerance,
     long farewellMillis,
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
@@ -74,6 +74,9 @@
         Option.some(document.text(SettingsCatalog.LOCAL_SERVICE))
             .filter(name -> !name.isEmpty())
             .map(ServiceId::new),
+        Option.when(
+            document.has(SettingsCatalog.LOCAL_SERVER),
+            () -> document.address(SettingsCatalog.LOCAL_SERVER)),
         document.number(SettingsCatalog.KEY_WITHDRAWAL),
         new EmergencyAllowance(
             document.decimal(SettingsCatalog.QUOTA_TOLERATED_SHARE),
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
@@ -65,6 +65,12 @@
           Kind.TEXT,
           "",
           "The service that runs on this VM, by which backend servers know their callers.");
+  static final Setting LOCAL_SERVER =
+      Setting.optional(
+          "localServer",
+          Kind.ADDRESS,
+          "",
+          "The backend server of this VM, which is asked for its health when the node starts.");
   static final Setting KEY_WITHDRAWAL =
       Setting.number(
           "keyWithdrawalMillis",
@@ -169,6 +175,7 @@
           PLATFORM_REQUEST_TIMEOUT,
           ROW_STORE_ADDRESS,
           LOCAL_SERVICE,
+          LOCAL_SERVER,
           KEY_WITHDRAWAL,
           QUOTA_TOLERATED_SHARE,
           QUOTA_TOLERATED_REQUESTS,
--- a/node/src/test/java/org/clementinepost/node/RowStoreNodeTest.java
+++ b/node/src/test/java/org/clementinepost/node/RowStoreNodeTest.java
@@ -55,6 +55,7 @@
             Option.none(),
             Option.some(store.address()),
             Option.some(new ServiceId("near")),
+            Option.none(),
             KEY_WITHDRAWAL_MILLIS,
             ALLOWANCE,
             100,
--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -79,7 +79,11 @@
       return Either.left(Failure.of(ResultCode.NODE_STOPPING));
     }
     if (hosted.isEmpty()) {
-      return Either.left(Failure.of(ResultCode.BACKEND_SERVER_DRAINING, server.value()));
+      ResultCode code =
+          state.departed().containsKey(server)
+              ? ResultCode.BACKEND_SERVER_DRAINING
+              : ResultCode.BACKEND_SERVER_UNKNOWN;
+      return Either.left(Failure.of(code, server.value()));
     }
     if (!hosted.get().takesWork() || state.snapshot().isDrained(server)) {
       return Either.left(Failure.of(ResultCode.BACKEND_SERVER_DRAINING, server.value()));
--- a/policy/src/main/java/org/clementinepost/policy/host/AnnounceProtocol.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AnnounceProtocol.java
@@ -1,6 +1,7 @@
 package org.clementinepost.policy.host;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.clementinepost.api.Failure;
 
 /**
@@ -9,8 +10,13 @@
  * @param reader reads an announcement
  * @param acknowledgedStatus the HTTP status of an acknowledgement
  * @param acknowledgement its body
+ * @param healthReader reads an answer about health; none where nothing more than health is told
  */
-public record AnnounceProtocol(Reader reader, int acknowledgedStatus, String acknowledgement) {
+public record AnnounceProtocol(
+    Reader reader,
+    int acknowledgedStatus,
+    String acknowledgement,
+    Option<HealthReader> healthReader) {
   /** Reads an announcement. */
   @FunctionalInterface
   public interface Reader {
--- a/policy/src/main/java/org/clementinepost/policy/host/AnnouncementOrder.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AnnouncementOrder.java
@@ -16,6 +16,9 @@
       Comparator.comparingLong(AnnouncementOrder::startedMillis)
           .thenComparingLong(AnnouncementOrder::number);
 
+  /** The place of what a backend server was found to be before any announcement of it came. */
+  public static final AnnouncementOrder BEFORE_ANY = new AnnouncementOrder(0, 0);
+
   @Override
   public int compareTo(AnnouncementOrder other) {
     return ORDER.compare(this, other);
--- a/policy/src/main/java/org/clementinepost/policy/host/AnnouncementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AnnouncementPolicy.java
@@ -39,6 +39,14 @@
     return state.withServers(others).withServer(next);
   }
 
+  /** What was found at the node's start counts until the backend server speaks for itself. */
+  static HostState found(HostState state, HostEvent.Found found) {
+    Announcement announcement = found.announcement();
+    boolean knownBetter =
+        state.servers().nonEmpty() || state.departed().containsKey(announcement.server());
+    return knownBetter ? state : state.withServer(HostedServer.of(announcement, found.nowNanos()));
+  }
+
   private static boolean isLate(HostState state, Announcement announcement) {
     if (announcement.order().isEmpty()) {
       return false;
@@ -71,6 +79,9 @@
   }
 
   private static boolean sameStart(Announcement known, Announcement next) {
+    if (known.order().contains(AnnouncementOrder.BEFORE_ANY)) {
+      return true;
+    }
     return known
         .order()
         .map(AnnouncementOrder::startedMillis)
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
@@ -14,6 +14,9 @@
   /** A backend server has announced itself. */
   record Announced(Announcement announcement, long nowNanos) implements HostEvent {}
 
+  /** A backend server that has not announced itself was found to take work. */
+  record Found(Announcement announcement, long nowNanos) implements HostEvent {}
+
   /** A request asks to be sent to a backend server. */
   record Admit(
       BackendServerId server,
--- a/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
@@ -40,6 +40,9 @@
       HostState next = AnnouncementPolicy.announced(state, announced);
       return published(state, admissions.proceed(next, announced.nowNanos()));
     }
+    if (event instanceof HostEvent.Found found) {
+      return published(state, Step.to(AnnouncementPolicy.found(state, found)));
+    }
     if (event instanceof HostEvent.Tick tick) {
       HostState next = AnnouncementPolicy.expired(state, tick.nowNanos());
       return woken(published(state, admissions.proceed(next, tick.nowNanos())));
--- a/policy/src/main/java/org/clementinepost/policy/routing/Hold.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/Hold.java
@@ -29,6 +29,7 @@
       case BACKEND_CONNECT_FAILED:
         return new Hold(nowNanos + UNREACHABLE_NANOS, false);
       case BACKEND_SERVER_FAILING:
+      case BACKEND_SERVER_UNKNOWN:
         return new Hold(nowNanos + FAILING_NANOS, false);
       case HOST_QUEUE_FULL:
       case HOST_QUEUE_TIMEOUT:
--- a/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -108,6 +108,44 @@
     decide(new HostEvent.Ended(admission, Option.none(), status, 100, nowNanos()));
   }
 
+  private static Announcement found() {
+    return announcement("s-1", Announcement.State.SERVING, 0, 0, 0);
+  }
+
+  @Test
+  void aServerThatWasFoundAtTheStartTakesWorkBeforeItsFirstAnnouncement() {
+    assertThat(decide(new HostEvent.Found(found(), 0))).isNotEmpty();
+
+    assertThat(state.servers().get(SERVER).get().takesWork()).isTrue();
+  }
+
+  @Test
+  void anyAnnouncementCountsMoreThanWhatWasFound() {
+    decide(new HostEvent.Found(found(), 0));
+
+    decide(new HostEvent.Announced(announcement("s-1", Announcement.State.DRAINING, 0, 5, 1), 0));
+
+    assertThat(state.servers().get(SERVER).get().takesWork()).isFalse();
+  }
+
+  @Test
+  void whatIsFoundAfterAnAnnouncementChangesNothing() {
+    decide(new HostEvent.Announced(announcement("s-1", Announcement.State.DRAINING, 0, 5, 1), 0));
+
+    decide(new HostEvent.Found(found(), 0));
+
+    assertThat(state.servers().get(SERVER).get().takesWork()).isFalse();
+  }
+
+  @Test
+  void whatIsFoundAfterTheDepartureChangesNothing() {
+    decide(new HostEvent.Announced(announcement("s-1", Announcement.State.GONE, 0, 5, 1), 0));
+
+    decide(new HostEvent.Found(found(), 0));
+
+    assertThat(state.servers().isEmpty()).isTrue();
+  }
+
   @Test
   void aRequestThatOnlyTakesAFreeSlotIsRefusedAtOnce() {
     announce();
--- a/platform/src/main/java/org/clementinepost/platform/ConnectionProbes.java
+++ b/storage/src/main/java/org/clementinepost/storage/rows/ConnectionProbes.java
@@ -1,4 +1,4 @@
-package org.clementinepost.platform;
+package org.clementinepost.storage.rows;
 
 import io.netty.channel.ChannelOption;
 import io.netty.channel.epoll.Epoll;
@@ -13,14 +13,15 @@
  * <p>A connection on which a call waits for changes can go silent without a reset. The probes end
  * it within about two seconds, and cost no call.
  */
-final class ConnectionProbes {
+public final class ConnectionProbes {
   private static final int IDLE_SECONDS = 1;
   private static final int INTERVAL_SECONDS = 1;
   private static final int UNANSWERED_PROBES = 1;
 
   private ConnectionProbes() {}
 
-  static HttpClient on(HttpClient client) {
+  /** Turns the probes on for the connections that a client will open. */
+  public static HttpClient on(HttpClient client) {
     HttpClient probing = client.option(ChannelOption.SO_KEEPALIVE, true);
     return Epoll.isAvailable() ? onEpoll(probing) : onNio(probing);
   }
