--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -48,7 +48,6 @@
 public final class Node {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private static final Duration SCHEDULER_STOP_TIMEOUT = Duration.ofSeconds(5);
 
   private final NodeSettings settings;
   private final Scheduler scheduler;
@@ -73,8 +72,7 @@
         PeerListener.open(
             settings.peer(),
             address -> new Member(settings.node(), incarnation, address, settings.domain()));
-    Scheduler scheduler =
-        Schedulers.newParallel("node", Runtime.getRuntime().availableProcessors(), true);
+    Scheduler scheduler = NodeLoops.shared();
     Kernel kernel = kernel(settings, backing, listener, scheduler, incarnation);
     return new Node(settings, scheduler, kernel, listener.self());
   }
@@ -193,6 +191,5 @@
             .block();
     logger.atInfo().log("event=node-stopped node=%s whole=%s", self.node(), whole);
     kernel.dispose();
-    scheduler.disposeGracefully().timeout(SCHEDULER_STOP_TIMEOUT).onErrorComplete().block();
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/NodeLoops.java
@@ -0,0 +1,59 @@
+package org.clementinepost.node;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.EventExecutor;
+import io.vavr.collection.Vector;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import reactor.core.Disposable;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.HttpResources;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Runs tasks on the threads that serve the sockets.
+ *
+ * <p>A request crosses many tasks. On a thread of its own each of them would be woken by the one
+ * before; on the sockets' thread a message costs no switch. No task may block.
+ */
+final class NodeLoops implements Scheduler {
+  private final Vector<Scheduler> loops;
+  private final AtomicInteger next = new AtomicInteger();
+
+  private NodeLoops(Vector<Scheduler> loops) {
+    this.loops = loops;
+  }
+
+  /** The loops that all sockets of this process share. */
+  static NodeLoops shared() {
+    EventLoopGroup group = HttpResources.get().onServer(LoopResources.DEFAULT_NATIVE);
+    return new NodeLoops(
+        Vector.ofAll(group).map((EventExecutor loop) -> Schedulers.fromExecutorService(loop)));
+  }
+
+  private Scheduler nextLoop() {
+    return loops.get(Math.floorMod(next.getAndIncrement(), loops.size()));
+  }
+
+  @Override
+  public Disposable schedule(Runnable task) {
+    return nextLoop().schedule(task);
+  }
+
+  @Override
+  public Disposable schedule(Runnable task, long delay, TimeUnit unit) {
+    return nextLoop().schedule(task, delay, unit);
+  }
+
+  @Override
+  public Disposable schedulePeriodically(
+      Runnable task, long initialDelay, long period, TimeUnit unit) {
+    return nextLoop().schedulePeriodically(task, initialDelay, period, unit);
+  }
+
+  @Override
+  public Worker createWorker() {
+    return nextLoop().createWorker();
+  }
+}
--- a/node/src/main/java/org/clementinepost/node/NodeMain.java
+++ b/node/src/main/java/org/clementinepost/node/NodeMain.java
@@ -1,6 +1,5 @@
 package org.clementinepost.node;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.FluentLogger;
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
@@ -24,7 +23,6 @@
 /** The binary {@code clementinepost}: runs one node until it is told to stop. */
 public final class NodeMain {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private static final String RELOAD_SIGNAL = "HUP";
 
@@ -139,7 +137,7 @@
       logger.atInfo().log(
           "event=node-started node=%s incarnation=%d",
           node.self().node(), node.self().incarnation());
-      out.println("listening " + MAPPER.writeValueAsString(ports));
+      out.println("listening " + ports.json());
       Mono.never().block();
       return ResultCode.OK.exitCode();
     } catch (Exception e) {
--- a/node/src/main/java/org/clementinepost/node/peer/PeerListener.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerListener.java
@@ -9,6 +9,7 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
+import reactor.netty.http.HttpResources;
 import reactor.netty.tcp.TcpServer;
 
 /**
@@ -26,6 +27,7 @@
   private PeerListener(NetworkAddress address, Function<NetworkAddress, Member> member) {
     server =
         TcpServer.create()
+            .runOn(HttpResources.get())
             .host(address.host())
             .port(address.port())
             .childOption(ChannelOption.TCP_NODELAY, true)
--- a/node/src/main/java/org/clementinepost/node/peer/PeerService.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerService.java
@@ -26,6 +26,7 @@
 import org.clementinepost.wire.PeerCodec;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
+import reactor.netty.http.HttpResources;
 import reactor.netty.tcp.TcpClient;
 
 /**
@@ -236,6 +237,7 @@
 
   private void dial(Member member) {
     TcpClient.create()
+        .runOn(HttpResources.get())
         .host(member.peerAddress().host())
         .port(member.peerAddress().port())
         .option(ChannelOption.TCP_NODELAY, true)
