Give a trial its whole time; wait longer for the store

The host judges servers since it sees every answer, so a trial needs no shorter patience; what is broken off early is priced as well.

Change: an attempt is waited for until its deadline.

Excluded: giving up only where another place is free; it cannot be known before the other place has answered.

--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/BaselinePolicy.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/BaselinePolicy.java
@@ -71,9 +71,6 @@
     return Step.to(
         new BaselineState(next.endpoints(), next.outstanding(), state.turn() + 1),
         new RoutingEffect.Placed(
-            place.head(),
-            Either.right(new Placement(chosen, place.head().timeoutMillis())),
-            "baseline",
-            place.reply()));
+            place.head(), Either.right(new Placement(chosen)), "baseline", place.reply()));
   }
 }
--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeNode.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/FakeNode.java
@@ -110,12 +110,8 @@
     long number = attempts;
     open.add(number);
     tally.attempt();
-    long waitMillis =
-        placement.patienceMillis() < head.timeoutMillis()
-            ? placement.patienceMillis()
-            : head.timeoutMillis() + HOST_GRACE_MILLIS;
     loop.after(
-        TimeUnit.MILLISECONDS.toNanos(waitMillis),
+        TimeUnit.MILLISECONDS.toNanos(head.timeoutMillis() + HOST_GRACE_MILLIS),
         () -> ended(number, attempt, FakeAnswer.failed(ResultCode.BACKEND_TIMED_OUT)));
     network.send(this, endpoint, head, result -> ended(number, attempt, result));
   }
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -42,13 +42,11 @@
 import org.clementinepost.node.settings.NodeSettings;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
-import reactor.core.scheduler.Schedulers;
 
 /** One running node: its services, in the order in which they start. */
 public final class Node {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-
   private final NodeSettings settings;
   private final Scheduler scheduler;
   private final Kernel kernel;
--- a/node/src/main/java/org/clementinepost/node/configuration/WatchedConfigurationService.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/WatchedConfigurationService.java
@@ -32,7 +32,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** A wait, and what its answer may be late, fit into a key's withdrawal. */
-  private static final long WAIT_MILLIS = 3_400;
+  private static final long WAIT_MILLIS = 3_900;
 
   private static final long RETRY_MILLIS = 250;
 
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -51,7 +51,7 @@
  * that it asks; it knows nothing of HTTP, so that another front end can use it.
  */
 final class RequestPipeline {
-  /** What an ingress waits beyond the deadline that the host keeps itself. */
+  /** What an ingress waits for the host's word beyond the deadline, which the host keeps itself. */
   private static final long HOST_GRACE_MILLIS = 20;
 
   private static final int FIRST_ERROR_STATUS = 400;
@@ -250,7 +250,7 @@
     Endpoint endpoint = placement.endpoint();
     AttemptEnd end = new AttemptEnd(routing, endpoint, clock);
     return ask(endpoint, head, body)
-        .timeout(Duration.ofMillis(waitMillis(placement, head)), scheduler)
+        .timeout(Duration.ofMillis(head.timeoutMillis() + HOST_GRACE_MILLIS), scheduler)
         .onErrorResume(
             TimeoutException.class,
             error -> Mono.just(Either.left(Failure.of(ResultCode.BACKEND_TIMED_OUT))))
@@ -258,13 +258,6 @@
         .doOnCancel(end::cancelled);
   }
 
-  /** The host keeps the deadline itself; its word is waited for a little longer. */
-  private static long waitMillis(Placement placement, RequestHead head) {
-    return placement.patienceMillis() < head.timeoutMillis()
-        ? placement.patienceMillis()
-        : head.timeoutMillis() + HOST_GRACE_MILLIS;
-  }
-
   private Mono<Either<Failure, Answer>> ask(Endpoint endpoint, RequestHead head, UploadBody body) {
     if (endpoint.host().equals(self)) {
       return HostReports.add(
--- a/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
@@ -3,7 +3,6 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.RequestHead;
@@ -58,22 +57,12 @@
         service
             .with(chosen.with(chosen.outstanding().placed(place.nowNanos())))
             .with(retry ? service.budget().withRetry() : service.budget().withRequest());
-    Placement placement =
-        new Placement(chosen.endpoint(), patienceMillis(head, service, chosen.inUse()));
+    Placement placement = new Placement(chosen.endpoint());
     return Step.to(
         state.with(head.service(), next),
         new RoutingEffect.Placed(head, Either.right(placement), reason, place.reply()));
   }
 
-  /** A trial request is not left waiting at a backend server that may still be sick. */
-  private static long patienceMillis(RequestHead head, ServiceState service, boolean inUse) {
-    if (inUse || !head.idempotent()) {
-      return head.timeoutMillis();
-    }
-    long overdueMillis = TimeUnit.NANOSECONDS.toMillis(service.reference().overdueNanos());
-    return Math.min(head.timeoutMillis(), overdueMillis);
-  }
-
   /** The next ejected server to be tried, for a request that may run again elsewhere. */
   private static Option<EndpointState> trial(ServiceState service, RoutingEvent.Place place) {
     RequestHead head = place.head();
