Log JSON lines that nobody waits for; explain a request from them

Change: JsonLinesHandler writes many lines at once from a thread of its own over a bounded buffer; routine lines are sampled above half of it, what is left out is counted and told. New events: answer (what a caller got unless all went well), exchange (how a backend server failed a request).

Found by the flood test: draining until empty took more than the buffer holds while it was filled; a drain takes a full buffer at most.

--- a/ctl/src/main/java/org/clementinepost/ctl/Commands.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/Commands.java
@@ -28,7 +28,9 @@
           CommandEntry.remote(
               "key withdraw NAME", "withdraws a key for good", new KeyWithdrawCommand()),
           CommandEntry.local(
-              "explain CODE", "tells what a result code means", new ExplainCommand()));
+              "explain CODE",
+              "tells what a result code means, or with --logs what became of a request",
+              new ExplainCommand()));
 
   private Commands() {}
 }
--- a/ctl/src/main/java/org/clementinepost/ctl/CtlOptions.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/CtlOptions.java
@@ -1,5 +1,6 @@
 package org.clementinepost.ctl;
 
+import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
@@ -15,6 +16,7 @@
  * @param note what a publication is said to be for
  * @param name the name of a new key
  * @param limit how many versions the history shows
+ * @param logs the log files in which a request is looked up
  */
 record CtlOptions(
     Option<String> platformUrl,
@@ -23,7 +25,8 @@
     String operator,
     Option<String> note,
     Option<String> name,
-    int limit) {
+    int limit,
+    Vector<String> logs) {
 
   static final String HELP = "help";
   static final String VERSION = "version";
@@ -37,6 +40,7 @@
   private static final String NOTE = "note";
   private static final String NAME = "name";
   private static final String LIMIT = "limit";
+  private static final String LOGS = "logs";
   private static final int DEFAULT_LIMIT = 20;
 
   static Options definitions() {
@@ -48,6 +52,12 @@
         .addOption(null, NOTE, true, "what the publication is for")
         .addOption(null, NAME, true, "key grant: the key's name; else one is made")
         .addOption(null, LIMIT, true, "history: how many versions; 20 by default")
+        .addOption(
+            org.apache.commons.cli.Option.builder()
+                .longOpt(LOGS)
+                .hasArgs()
+                .desc("explain: log files in which a request is looked up; - for standard input")
+                .build())
         .addOption(null, HELP, false, "show this help")
         .addOption(null, VERSION, false, "show the version");
   }
@@ -67,7 +77,8 @@
         Option.of(line.getOptionValue(NAME)),
         Option.of(line.getOptionValue(LIMIT))
             .map(text -> Math.toIntExact(number(LIMIT, text)))
-            .getOrElse(DEFAULT_LIMIT));
+            .getOrElse(DEFAULT_LIMIT),
+        Option.of(line.getOptionValues(LOGS)).map(Vector::of).getOrElse(Vector.empty()));
   }
 
   private static long number(String option, String text) {
--- a/ctl/src/main/java/org/clementinepost/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/ExplainCommand.java
@@ -6,10 +6,18 @@
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
 
-/** Tells what a result code means and what to do about it. */
+/**
+ * Tells what a result code means and what to do about it, or what became of a request.
+ *
+ * <p>With log files it is a request's id that is explained.
+ */
 final class ExplainCommand implements Command {
   @Override
   public Outcome run(CommandContext context) {
+    if (context.options().logs().nonEmpty()) {
+      return RequestLog.read(context.argument(), context.options().logs())
+          .fold(Outcome::of, ExplainCommand::explain);
+    }
     Option<ResultCode> code =
         Try.of(() -> Integer.parseInt(context.argument()))
             .toOption()
@@ -20,6 +28,15 @@
             () -> Outcome.of(Failure.of(ResultCode.USAGE, "no result code " + context.argument())));
   }
 
+  private static Outcome explain(RequestLog log) {
+    return Outcome.builder(ResultCode.OK)
+        .field("conclusion", log.conclusion())
+        .field("lines", log.lines().size())
+        .lines(log.lines().map(line -> line.origin() + " " + line.fields()))
+        .line(log.conclusion())
+        .build();
+  }
+
   private static Option<ResultCode> named(String name) {
     return Vector.of(ResultCode.values()).find(code -> code.name().equalsIgnoreCase(name));
   }
--- /dev/null
+++ b/ctl/src/main/java/org/clementinepost/ctl/RequestLog.java
@@ -0,0 +1,146 @@
+package org.clementinepost.ctl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.Reader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+
+/**
+ * The log lines of one request, in the order of their times.
+ *
+ * @param lines the lines
+ */
+record RequestLog(Vector<Line> lines) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String STANDARD_INPUT = "-";
+
+  /**
+   * One log line.
+   *
+   * @param origin what stood before it in its file, or the file's name
+   * @param fields what it tells
+   */
+  record Line(String origin, JsonNode fields) {
+    String text(String field) {
+      return fields.path(field).asText();
+    }
+
+    boolean is(String event) {
+      return text("event").equals(event);
+    }
+  }
+
+  /** Reads the lines of a request from files; a dash is standard input. */
+  static Either<Failure, RequestLog> read(String request, Vector<String> files) {
+    Vector<Line> lines = Vector.empty();
+    for (String file : files) {
+      try (Reader reader = open(file)) {
+        lines = lines.appendAll(ofRequest(request, file, reader));
+      } catch (IOException e) {
+        return Either.left(Failure.of(ResultCode.USAGE, "cannot read " + file + ": " + e));
+      }
+    }
+    return Either.right(new RequestLog(lines.sortBy(line -> line.text("time"))));
+  }
+
+  private static Reader open(String file) throws IOException {
+    return file.equals(STANDARD_INPUT)
+        ? new InputStreamReader(System.in, StandardCharsets.UTF_8)
+        : Files.newBufferedReader(Path.of(file));
+  }
+
+  private static Vector<Line> ofRequest(String request, String file, Reader reader) {
+    return Vector.ofAll(new BufferedReader(reader).lines())
+        .filter(text -> text.contains(request))
+        .flatMap(text -> line(file, text))
+        .filter(line -> line.text("request").equals(request));
+  }
+
+  /** A line that is no JSON object belongs to another program. */
+  private static Option<Line> line(String file, String text) {
+    int start = text.indexOf('{');
+    if (start < 0) {
+      return Option.none();
+    }
+    try {
+      String before = text.substring(0, start).strip();
+      return Option.some(
+          new Line(before.isEmpty() ? file : before, MAPPER.readTree(text.substring(start))));
+    } catch (JsonProcessingException e) {
+      return Option.none();
+    }
+  }
+
+  /** What became of the request, in a sentence. */
+  String conclusion() {
+    if (lines.isEmpty()) {
+      return "No line of this request is in these logs.";
+    }
+    Option<Line> answer = lines.findLast(line -> line.is("answer"));
+    if (answer.isEmpty()) {
+      return "Its caller got the answer of a backend server, or its end is not in these logs.";
+    }
+    String status = answer.get().text("status");
+    Option<ResultCode> code = code(answer.get().text("code"));
+    String outcome =
+        code.map(
+                known ->
+                    "the node answered "
+                        + status
+                        + " for "
+                        + meaning(known)
+                        + ", request "
+                        + known.runState().label())
+            .getOrElse("a backend server answered " + status);
+    return "After " + answer.get().text("millis") + " ms " + outcome + cause() + ".";
+  }
+
+  /** The last thing before the answer that went wrong. */
+  private String cause() {
+    return lines
+        .findLast(line -> line.is("exchange") || isRefusal(line))
+        .map(RequestLog::told)
+        .getOrElse("");
+  }
+
+  private static boolean isRefusal(Line line) {
+    return line.is("admission") && !line.text("result").equals("0");
+  }
+
+  private static String told(Line line) {
+    String server = line.text("server");
+    if (line.is("admission")) {
+      return "; the host of "
+          + server
+          + " refused it last: "
+          + code(line.text("result")).map(RequestLog::meaning).getOrElse(line.text("result"));
+    }
+    return "; "
+        + server
+        + " failed it last: "
+        + code(line.text("code"))
+            .map(RequestLog::meaning)
+            .getOrElse("status " + line.text("status"));
+  }
+
+  private static String meaning(ResultCode code) {
+    return code.number() + " " + code.title();
+  }
+
+  private static Option<ResultCode> code(String number) {
+    return Option.of(number)
+        .filter(text -> text.matches("[1-9][0-9]{0,4}"))
+        .flatMap(text -> Option.ofOptional(ResultCode.ofNumber(Integer.parseInt(text))));
+  }
+}
--- a/ctl/src/test/java/org/clementinepost/ctl/CtlTest.java
+++ b/ctl/src/test/java/org/clementinepost/ctl/CtlTest.java
@@ -210,6 +210,51 @@
     assertThat(newest.path("note").asText()).isEqualTo("rack work");
   }
 
+  private Path log(String name, String... lines) throws IOException {
+    return Files.write(folder.resolve(name), Vector.of(lines));
+  }
+
+  @Test
+  void explainsARequestFromTheLogsOfSeveralNodes() throws IOException {
+    Path ingress =
+        log(
+            "ingress.log",
+            "listening {}",
+            "{\"time\":\"2026-01-01T00:00:00.001Z\",\"event\":\"placement\",\"request\":\"r-1\"}",
+            "{\"time\":\"2026-01-01T00:00:00.001Z\",\"event\":\"placement\",\"request\":\"r-12\"}",
+            "{\"time\":\"2026-01-01T00:00:00.009Z\",\"event\":\"answer\",\"request\":\"r-1\","
+                + "\"status\":\"503\",\"code\":\"2003\",\"millis\":\"8\"}");
+    Path host =
+        log(
+            "host.log",
+            "  1.5 node-2 {\"time\":\"2026-01-01T00:00:00.005Z\",\"event\":\"admission\","
+                + "\"request\":\"r-1\",\"server\":\"i-7\",\"result\":\"3001\"}");
+
+    run("explain", "r-1", "--logs", ingress.toString(), host.toString());
+
+    assertThat(output.toString(StandardCharsets.UTF_8))
+        .containsSubsequence(
+            "placement",
+            "1.5 node-2",
+            "admission",
+            "After 8 ms the node answered 503 for 2003",
+            "the host of i-7 refused it last: 3001")
+        .doesNotContain("r-12");
+  }
+
+  @Test
+  void aRequestThatIsNotInTheLogsIsSaidToBeMissing() throws IOException {
+    run("explain", "r-9", "--logs", log("empty.log").toString());
+
+    assertThat(output.toString(StandardCharsets.UTF_8)).contains("No line of this request");
+  }
+
+  @Test
+  void aLogThatCannotBeReadIsAnError() {
+    assertThat(run("explain", "r-9", "--logs", folder.resolve("none.log").toString()))
+        .isEqualTo(ResultCode.USAGE.exitCode());
+  }
+
   @Test
   void explainsByNumberAndName() {
     assertThat(run("explain", "5101")).isZero();
--- /dev/null
+++ b/kernel/src/main/java/org/clementinepost/kernel/logging/JsonLinesHandler.java
@@ -0,0 +1,99 @@
+package org.clementinepost.kernel.logging;
+
+import java.io.PrintStream;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes records to standard output as JSON lines, many at a time, from a thread of its own.
+ *
+ * <p>Whoever logs never waits: a record goes into a bounded buffer, and is counted when it finds no
+ * room. The writer sleeps while there is nothing to write.
+ */
+public final class JsonLinesHandler extends Handler {
+  private static final int CAPACITY_LINES = 8_192;
+  private static final long GATHER_NANOS = 50_000_000;
+
+  /** Events of the ordinary course of a request. */
+  private static final Set<String> ROUTINE_EVENTS =
+      Set.of("event=access", "event=placement", "event=admission");
+
+  private final LogBuffer buffer;
+  private final PrintStream out;
+  private final Thread writer = new Thread(this::run, "log-writer");
+  private final AtomicBoolean asleep = new AtomicBoolean();
+
+  /** Writes to standard output. */
+  public JsonLinesHandler() {
+    this(System.out, CAPACITY_LINES);
+  }
+
+  JsonLinesHandler(PrintStream out, int capacityLines) {
+    this.out = out;
+    this.buffer = new LogBuffer(capacityLines);
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  @Override
+  public void publish(LogRecord record) {
+    if (!isLoggable(record)) {
+      return;
+    }
+    buffer.offer(LogLineFormat.line(record), isRoutine(record));
+    if (asleep.compareAndSet(true, false)) {
+      LockSupport.unpark(writer);
+    }
+  }
+
+  /** Refusals, failures and changes of belief are never routine. */
+  private static boolean isRoutine(LogRecord record) {
+    String message = String.valueOf(record.getMessage());
+    int end = message.indexOf(' ');
+    return record.getLevel().intValue() <= Level.INFO.intValue()
+        && end > 0
+        && ROUTINE_EVENTS.contains(message.substring(0, end))
+        && (message.contains(" result=0") || message.contains(" reason=less-loaded-of-two"));
+  }
+
+  private void run() {
+    while (!Thread.currentThread().isInterrupted()) {
+      awaitLines();
+      LockSupport.parkNanos(GATHER_NANOS);
+      flush();
+    }
+  }
+
+  private void awaitLines() {
+    while (buffer.isEmpty()) {
+      asleep.set(true);
+      if (buffer.isEmpty()) {
+        LockSupport.park();
+      }
+      asleep.set(false);
+    }
+  }
+
+  /** Writes all that waits, and tells what was left out. */
+  @Override
+  public synchronized void flush() {
+    out.print(buffer.drain());
+    long dropped = buffer.takeDropped();
+    long sampledOut = buffer.takeSampledOut();
+    if (dropped + sampledOut > 0) {
+      String message = "event=log-lines-left-out dropped=" + dropped + " sampledOut=" + sampledOut;
+      out.print(LogLineFormat.line(new LogRecord(Level.WARNING, message)));
+    }
+    out.flush();
+  }
+
+  /** Writes what waits; the stream belongs to the process. */
+  @Override
+  public void close() {
+    flush();
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/clementinepost/kernel/logging/LogLineFormat.java
@@ -0,0 +1,118 @@
+package org.clementinepost.kernel.logging;
+
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * Turns a record into one JSON object.
+ *
+ * <p>A message is a list of {@code key=value} pairs; a word without a key belongs to the value
+ * before it, and {@code detail} takes the rest. A message that begins with no pair becomes the
+ * detail of the event {@code text}.
+ */
+final class LogLineFormat {
+  private static final String EVENT = "event";
+  private static final String DETAIL = "detail";
+  private static final String TEXT_EVENT = "text";
+  private static final int FIRST_PRINTABLE = 0x20;
+
+  private LogLineFormat() {}
+
+  static String line(LogRecord record) {
+    StringBuilder json = new StringBuilder(160);
+    json.append("{\"time\":\"").append(Instant.ofEpochMilli(record.getMillis())).append('"');
+    field(json, "level", level(record.getLevel()));
+    fields(String.valueOf(record.getMessage())).forEach((key, value) -> field(json, key, value));
+    if (record.getThrown() != null) {
+      field(json, "error", record.getThrown().toString());
+      field(json, "at", origin(record.getThrown()));
+    }
+    return json.append("}\n").toString();
+  }
+
+  private static String level(Level level) {
+    if (level.intValue() >= Level.SEVERE.intValue()) {
+      return "error";
+    }
+    if (level.intValue() >= Level.WARNING.intValue()) {
+      return "warning";
+    }
+    return level.intValue() >= Level.INFO.intValue() ? "info" : "fine";
+  }
+
+  private static String origin(Throwable error) {
+    StackTraceElement[] trace = error.getStackTrace();
+    return trace.length == 0 ? "" : trace[0].toString();
+  }
+
+  /** The pairs of a message in their order. */
+  static Map<String, String> fields(String message) {
+    Map<String, String> fields = new LinkedHashMap<>();
+    if (!message.startsWith(EVENT + "=")) {
+      fields.put(EVENT, TEXT_EVENT);
+      fields.put(DETAIL, message);
+      return fields;
+    }
+    String key = EVENT;
+    int start = 0;
+    while (start < message.length()) {
+      int equals = keyEnd(message, start);
+      if (equals < 0) {
+        int end = wordEnd(message, start);
+        fields.merge(key, message.substring(start, end), (before, word) -> before + " " + word);
+        start = end + 1;
+        continue;
+      }
+      key = message.substring(start, equals);
+      int end = key.equals(DETAIL) ? message.length() : wordEnd(message, equals + 1);
+      fields.put(key, message.substring(equals + 1, end));
+      start = end + 1;
+    }
+    return fields;
+  }
+
+  private static int wordEnd(String message, int start) {
+    int end = message.indexOf(' ', start);
+    return end < 0 ? message.length() : end;
+  }
+
+  /** Where the key that begins here ends; below zero when none begins here. */
+  private static int keyEnd(String message, int start) {
+    for (int i = start; i < message.length(); i++) {
+      char c = message.charAt(i);
+      if (c == '=') {
+        return i > start ? i : -1;
+      }
+      if (!Character.isLetter(c)) {
+        return -1;
+      }
+    }
+    return -1;
+  }
+
+  private static void field(StringBuilder json, String key, String value) {
+    json.append(",\"").append(key).append("\":\"");
+    for (int i = 0; i < value.length(); i++) {
+      escaped(json, value.charAt(i));
+    }
+    json.append('"');
+  }
+
+  private static void escaped(StringBuilder json, char c) {
+    switch (c) {
+      case '"' -> json.append("\\\"");
+      case '\\' -> json.append("\\\\");
+      case '\n' -> json.append("\\n");
+      default -> {
+        if (c < FIRST_PRINTABLE) {
+          json.append(String.format("\\u%04x", (int) c));
+        } else {
+          json.append(c);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/clementinepost/kernel/logging/JsonLinesHandlerTest.java
@@ -0,0 +1,99 @@
+package org.clementinepost.kernel.logging;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+final class JsonLinesHandlerTest {
+  private static final int CAPACITY_LINES = 100;
+  private static final int FLOOD_LINES = 10_000;
+  private static final Pattern LEFT_OUT =
+      Pattern.compile("\"dropped\":\"(\\d+)\",\"sampledOut\":\"(\\d+)\"");
+
+  private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+  private final CountDownLatch open = new CountDownLatch(1);
+
+  /** A stream that takes nothing until it is opened. */
+  private PrintStream stuck() {
+    return new PrintStream(
+        new OutputStream() {
+          @Override
+          public void write(int b) {
+            write(new byte[] {(byte) b}, 0, 1);
+          }
+
+          @Override
+          public void write(byte[] bytes, int offset, int length) {
+            try {
+              open.await();
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+            written.write(bytes, offset, length);
+          }
+        });
+  }
+
+  private static void flood(JsonLinesHandler handler, Level level, String message) {
+    for (int i = 0; i < FLOOD_LINES; i++) {
+      handler.publish(new LogRecord(level, message));
+    }
+  }
+
+  private long lines(String event) {
+    return written
+        .toString(StandardCharsets.UTF_8)
+        .lines()
+        .filter(line -> line.contains("\"event\":\"" + event + "\""))
+        .count();
+  }
+
+  private long leftOut() {
+    Matcher matcher = LEFT_OUT.matcher(written.toString(StandardCharsets.UTF_8));
+    long count = 0;
+    while (matcher.find()) {
+      count += Long.parseLong(matcher.group(1)) + Long.parseLong(matcher.group(2));
+    }
+    return count;
+  }
+
+  @Test
+  void aFloodHoldsUpNobodyAndWhatIsLeftOutIsCounted() {
+    JsonLinesHandler handler = new JsonLinesHandler(stuck(), CAPACITY_LINES);
+
+    flood(handler, Level.WARNING, "event=store-lost code=6001");
+    open.countDown();
+    handler.flush();
+
+    assertThat(lines("store-lost") + leftOut()).isEqualTo(FLOOD_LINES);
+    assertThat(lines("store-lost")).isLessThanOrEqualTo(2L * CAPACITY_LINES);
+  }
+
+  @Test
+  void routineLinesMakeRoomForTheOthers() {
+    JsonLinesHandler handler = new JsonLinesHandler(stuck(), CAPACITY_LINES);
+
+    for (int i = 0; i < CAPACITY_LINES; i++) {
+      handler.publish(new LogRecord(Level.INFO, "event=admission request=r result=0"));
+    }
+    for (int i = 0; i < CAPACITY_LINES / 4; i++) {
+      handler.publish(new LogRecord(Level.INFO, "event=admission request=r result=3001"));
+    }
+    open.countDown();
+    handler.flush();
+
+    String all = written.toString(StandardCharsets.UTF_8);
+    assertThat(all.lines().filter(line -> line.contains("\"result\":\"3001\"")).count())
+        .isEqualTo(CAPACITY_LINES / 4);
+    assertThat(lines("admission") + leftOut()).isEqualTo(CAPACITY_LINES + CAPACITY_LINES / 4);
+  }
+}
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -35,6 +35,7 @@
 import org.clementinepost.node.peer.ControlReceiver;
 import org.clementinepost.node.peer.PeerListener;
 import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.peer.SocketLoops;
 import org.clementinepost.node.quota.QuotaService;
 import org.clementinepost.node.quota.QuotaServiceMessage;
 import org.clementinepost.node.routing.RoutingMessage;
@@ -70,7 +71,7 @@
         PeerListener.open(
             settings.peer(),
             address -> new Member(settings.node(), incarnation, address, settings.domain()));
-    Scheduler scheduler = NodeLoops.shared();
+    Scheduler scheduler = SocketLoops.shared();
     Kernel kernel = kernel(settings, backing, listener, scheduler, incarnation);
     return new Node(settings, scheduler, kernel, listener.self());
   }
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -43,6 +43,7 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int ID_RADIX = 36;
+  private static final int FIRST_ERROR_STATUS = 400;
 
   private final RequestPipeline pipeline;
   private final Address<MetricsMessage> metrics;
@@ -127,6 +128,7 @@
       long startedNanos) {
     int result = answer.fold(failure -> failure.code().number(), whole -> 0);
     metrics.send(new MetricsMessage.Counted("edge.result." + result));
+    logUnlessGood(id, answer, result, startedNanos);
     if (stopping) {
       response.keepAlive(false);
     }
@@ -136,6 +138,17 @@
         .then();
   }
 
+  private void logUnlessGood(
+      RequestId id, Either<Failure, Answer> answer, int result, long startedNanos) {
+    int status =
+        answer.fold(failure -> failure.code().httpStatus(), whole -> whole.head().status());
+    if (status >= FIRST_ERROR_STATUS) {
+      logger.atInfo().log(
+          "event=answer request=%s status=%d code=%d millis=%d",
+          id, status, result, TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - startedNanos));
+    }
+  }
+
   private MetricsMessage timed(long startedNanos) {
     long micros = TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - startedNanos);
     return new MetricsMessage.Timed("edge.request", micros);
--- a/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
@@ -35,6 +35,7 @@
       ServiceName.of("exchange", ExchangeMessage.class);
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
   private final TaskContext<ExchangeMessage> context;
   private final BackendClient client;
@@ -119,10 +120,28 @@
         .onErrorResume(
             TimeoutException.class,
             error -> Mono.just(Either.left(Failure.of(ResultCode.BACKEND_TIMED_OUT))))
+        .doOnNext(answer -> logUnlessGood(head, admission, answer))
         .doOnNext(answer -> answer.swap().forEach(failure -> end.failed(failure)))
         .doOnCancel(() -> end.failed(Failure.of(ResultCode.BACKEND_ANSWER_LOST, "cancelled")));
   }
 
+  private static void logUnlessGood(
+      RequestHead head, Admission admission, Either<Failure, Answer> answer) {
+    int status = answer.fold(failure -> 0, whole -> whole.head().status());
+    int code = answer.fold(failure -> failure.code().number(), whole -> 0);
+    if (code == 0 && status < FIRST_SERVER_ERROR_STATUS) {
+      return;
+    }
+    logger.atInfo().log(
+        "event=exchange request=%s attempt=%d server=%s status=%d code=%d detail=%s",
+        head.requestId(),
+        head.attempt(),
+        admission.server(),
+        status,
+        code,
+        answer.fold(Failure::detail, whole -> ""));
+  }
+
   @Override
   public void stop() {
     client.dispose();
--- a/node/src/main/java/org/clementinepost/node/NodeLoops.java
+++ b/node/src/main/java/org/clementinepost/node/peer/SocketLoops.java
@@ -1,4 +1,4 @@
-package org.clementinepost.node;
+package org.clementinepost.node.peer;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.EventExecutor;
@@ -17,18 +17,18 @@
  * <p>A request crosses many tasks. On a thread of its own each of them would be woken by the one
  * before; on the sockets' thread a message costs no switch. No task may block.
  */
-final class NodeLoops implements Scheduler {
+public final class SocketLoops implements Scheduler {
   private final Vector<Scheduler> loops;
   private final AtomicInteger next = new AtomicInteger();
 
-  private NodeLoops(Vector<Scheduler> loops) {
+  private SocketLoops(Vector<Scheduler> loops) {
     this.loops = loops;
   }
 
   /** The loops that all sockets of this process share. */
-  static NodeLoops shared() {
+  public static SocketLoops shared() {
     EventLoopGroup group = HttpResources.get().onServer(LoopResources.DEFAULT_NATIVE);
-    return new NodeLoops(
+    return new SocketLoops(
         Vector.ofAll(group).map((EventExecutor loop) -> Schedulers.fromExecutorService(loop)));
   }
 
