Look at a connection only while it is in use; one class for a lost store

Change: a connection that carries nothing is looked at every 30 s, one that does every 250 ms; frames written in one turn go out together; routing looks at its evidence every 200 ms; the links that the membership keeps are looked after where there are any. The nodes' table tells members only when they change. StoreContact holds the lost and regained state, its two log lines and the retry for both services that follow the store.

--- a/node/src/main/java/org/clementinepost/node/configuration/WatchedConfigurationService.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/WatchedConfigurationService.java
@@ -16,7 +16,7 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.SuspendProofClock;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.kernel.TimerService;
+import org.clementinepost.node.rows.StoreContact;
 import org.clementinepost.storage.rows.OperatorChange;
 import org.clementinepost.storage.rows.OperatorFeed;
 import org.clementinepost.storage.rows.OperatorPage;
@@ -39,12 +39,12 @@
   private final TaskContext<ConfigurationMessage> context;
   private final SuspendProofClock clock;
   private final OperatorFeed feed;
+  private final StoreContact contact;
   private Option<Long> followed = Option.none();
   private Snapshot published = Snapshot.empty();
   private StoreClock storeClock = StoreClock.UNKNOWN;
   private Set<FailureDomainId> domainsOut = HashSet.empty();
   private Snapshot current = Snapshot.empty();
-  private boolean storeAway;
   private Vector<Reply<Snapshot>> listeners = Vector.empty();
   private Vector<Reply<Confirmation>> confirmed = Vector.empty();
 
@@ -53,6 +53,12 @@
     this.context = context;
     this.clock = new SuspendProofClock(context.clock());
     this.feed = feed;
+    this.contact =
+        new StoreContact(
+            ConfigurationService.NAME.text(),
+            context.registry(),
+            RETRY_MILLIS,
+            () -> context.self().send(new ConfigurationMessage.Poll()));
     ask();
   }
 
@@ -95,28 +101,12 @@
       ask();
       return null;
     }
-    if (!storeAway) {
-      storeAway = true;
-      logger.atWarning().log(
-          "event=store-lost use=configuration code=%d detail=%s",
-          failure.code().number(), failure.detail());
-    }
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Once(
-                ConfigurationService.NAME.text(),
-                RETRY_MILLIS,
-                () -> context.self().send(new ConfigurationMessage.Poll())));
+    contact.lost(failure);
     return null;
   }
 
   private Void read(long askedNanos, OperatorPage page) {
-    if (storeAway) {
-      storeAway = false;
-      logger.atInfo().log("event=store-regained use=configuration");
-    }
+    contact.regained();
     if (followed.exists(version -> page.version() < version)) {
       logger.atWarning().log(
           "event=store-answer-stale version=%d known=%d", page.version(), followed.get());
--- a/node/src/main/java/org/clementinepost/node/directory/TableDirectoryService.java
+++ b/node/src/main/java/org/clementinepost/node/directory/TableDirectoryService.java
@@ -26,6 +26,7 @@
 import org.clementinepost.node.quota.QuotaServiceMessage;
 import org.clementinepost.node.routing.RoutingMessage;
 import org.clementinepost.node.routing.RoutingService;
+import org.clementinepost.node.rows.StoreContact;
 import org.clementinepost.storage.rows.Row;
 import org.clementinepost.storage.rows.RowPage;
 import org.clementinepost.storage.rows.RowStore;
@@ -53,20 +54,27 @@
   private final TaskContext<DirectoryMessage> context;
   private final Member self;
   private final RowStore store;
+  private final StoreContact contact;
   private Option<Long> followed = Option.none();
   private Map<NodeId, Known> others = HashMap.empty();
+  private Vector<Member> members = Vector.empty();
   private Map<ServiceId, Vector<Endpoint>> told = HashMap.empty();
   private Vector<Endpoint> hosted = Vector.empty();
   private Option<Row> ownRow = Option.none();
   private boolean writing;
   private boolean leaving;
-  private boolean storeAway;
 
   private TableDirectoryService(
       TaskContext<DirectoryMessage> context, Member self, RowStore store) {
     this.context = context;
     this.self = self;
     this.store = store;
+    this.contact =
+        new StoreContact(
+            DirectoryService.NAME.text(),
+            context.registry(),
+            RETRY_MILLIS,
+            () -> context.self().send(new DirectoryMessage.Tick()));
     follow();
   }
 
@@ -128,34 +136,14 @@
       follow();
       return null;
     }
-    if (!storeAway) {
-      storeAway = true;
-      logger.atWarning().log(
-          "event=store-lost use=directory code=%d detail=%s",
-          failure.code().number(), failure.detail());
-    }
     // What was written while the store was away is not known until the table is read anew.
     followed = Option.none();
-    followAfter(RETRY_MILLIS);
+    contact.lost(failure);
     return null;
   }
 
-  private void followAfter(long delayMillis) {
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Once(
-                DirectoryService.NAME.text(),
-                delayMillis,
-                () -> context.self().send(new DirectoryMessage.Tick())));
-  }
-
   private Void read(boolean whole, RowPage page) {
-    if (storeAway) {
-      storeAway = false;
-      logger.atInfo().log("event=store-regained use=directory");
-    }
+    contact.regained();
     if (whole) {
       others = HashMap.empty();
       ownRow = Option.none();
@@ -168,7 +156,7 @@
       follow();
       return null;
     }
-    followAfter(GATHER_MILLIS);
+    contact.askAfter(GATHER_MILLIS);
     return null;
   }
 
@@ -197,15 +185,23 @@
     return null;
   }
 
-  /** Tells the other services what has changed. */
-  private void tell() {
-    Vector<Member> members = others.values().map(known -> known.row().member()).toVector();
+  private void tellMembers() {
+    Vector<Member> now = others.values().map(known -> known.row().member()).toVector();
+    if (now.equals(members)) {
+      return;
+    }
+    members = now;
     context.registry().find(PeerService.NAME).send(new PeerServiceMessage.Members(members));
     context.registry().find(OperatorService.NAME).send(new OperatorMessage.Members(members));
     context
         .registry()
         .find(QuotaService.NAME)
         .send(new QuotaServiceMessage.Members(members.size() + 1));
+  }
+
+  /** Tells the other services what has changed. */
+  private void tell() {
+    tellMembers();
     Map<ServiceId, Vector<Endpoint>> now =
         others
             .values()
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -34,6 +34,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final NodeId UNKNOWN_PEER = new NodeId("");
   private static final long TICK_MILLIS = 250;
+  private static final long IDLE_TICK_MILLIS = 30_000;
   private static final int TICKS_PER_KEPT_PING = 4;
   private static final long DOUBT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
   private static final long SILENCE_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
@@ -55,6 +56,7 @@
   private long lastSaidNanos;
   private long watchedSinceNanos;
   private long ticks;
+  private boolean watching;
   private boolean doubted;
   private boolean closed;
 
@@ -86,15 +88,7 @@
     this.watchedSinceNanos = lastHeardNanos;
     this.timerName = "peer-connection-" + System.identityHashCode(this);
     write(new LinkMessage.Hello(self.node(), self.incarnation()));
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Every(
-                timerName,
-                TICK_MILLIS,
-                TICK_MILLIS,
-                () -> context.self().send(new ConnectionMessage.Tick())));
+    tickAfter(IDLE_TICK_MILLIS);
   }
 
   static Function<TaskContext<ConnectionMessage>, Behaviour<ConnectionMessage>> factory(
@@ -112,6 +106,28 @@
       refuse(message);
       return;
     }
+    take(message);
+    if (!watching && isWatched() && !closed) {
+      watching = true;
+      watchedSinceNanos = context.clock().nowNanos();
+      tickAfter(TICK_MILLIS);
+    }
+  }
+
+  private boolean isWatched() {
+    return kept || !streams.isIdle();
+  }
+
+  private void tickAfter(long delayMillis) {
+    context
+        .registry()
+        .find(TimerService.NAME)
+        .send(
+            new TimerService.Once(
+                timerName, delayMillis, () -> context.self().send(new ConnectionMessage.Tick())));
+  }
+
+  private void take(ConnectionMessage message) {
     if (message instanceof ConnectionMessage.Frame frame) {
       lastHeardNanos = context.clock().nowNanos();
       answerProbes(true);
@@ -198,12 +214,13 @@
 
   private void tick() {
     long nowNanos = context.clock().nowNanos();
-    boolean watched = kept || !streams.isIdle();
-    if (!watched) {
-      watchedSinceNanos = nowNanos;
+    watching = isWatched();
+    if (!watching) {
+      tickAfter(IDLE_TICK_MILLIS);
       closeIfIdle(doubted ? 0 : idleLimitNanos, nowNanos);
       return;
     }
+    tickAfter(TICK_MILLIS);
     long silenceNanos = nowNanos - Math.max(lastHeardNanos, watchedSinceNanos);
     if (silenceNanos > SILENCE_LIMIT_NANOS) {
       logger.atWarning().log("event=peer-silent peer=%s", peer);
--- a/node/src/main/java/org/clementinepost/node/peer/PeerService.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerService.java
@@ -79,15 +79,6 @@
     membership.send(
         new MembershipMessage.Subscribe(
             others -> context.self().send(new PeerServiceMessage.Members(others))));
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Every(
-                NAME.text(),
-                TICK_MILLIS,
-                TICK_MILLIS,
-                () -> context.self().send(new PeerServiceMessage.Tick())));
   }
 
   /** Defines the service on a node whose port is open. */
@@ -323,6 +314,9 @@
   }
 
   private void links(Vector<Member> to) {
+    if (kept.links().isEmpty()) {
+      lookAfterLinks();
+    }
     KeptLinks next = kept.to(to, context.clock().nowMillis());
     kept.links()
         .keySet()
@@ -336,6 +330,18 @@
     kept.due(context.clock().nowMillis()).forEach(this::dialKept);
   }
 
+  private void lookAfterLinks() {
+    context
+        .registry()
+        .find(TimerService.NAME)
+        .send(
+            new TimerService.Every(
+                NAME.text(),
+                TICK_MILLIS,
+                TICK_MILLIS,
+                () -> context.self().send(new PeerServiceMessage.Tick())));
+  }
+
   private void keep(NodeId node, ConnectionMessage.Keep message) {
     dialed.get(node).forEach(dial -> dial.task().address().send(message));
   }
--- a/node/src/main/java/org/clementinepost/node/peer/TcpTransport.java
+++ b/node/src/main/java/org/clementinepost/node/peer/TcpTransport.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.kernel.Delivery;
@@ -12,6 +13,7 @@
 final class TcpTransport implements FrameTransport {
   private static final int MAX_FRAME_BYTES = 2 << 20;
   private static final int LENGTH_BYTES = 4;
+  private static final int MAX_FRAMES_PER_FLUSH = 256;
 
   private final Connection connection;
 
@@ -19,8 +21,10 @@
     this.connection = connection;
   }
 
-  /** Adds framing to a connection before anything is read from it. */
+  /** Adds framing to a connection before anything is read from it; frames go out together. */
   static void frame(Connection connection) {
+    connection.addHandlerFirst(
+        "flush-consolidation", new FlushConsolidationHandler(MAX_FRAMES_PER_FLUSH, true));
     connection.addHandlerLast(
         "frame-decoder",
         new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
@@ -25,7 +25,7 @@
       ServiceName.of("routing", RoutingMessage.class);
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long TICK_MILLIS = 100;
+  private static final long TICK_MILLIS = 200;
 
   private RoutingService() {}
 
--- /dev/null
+++ b/node/src/main/java/org/clementinepost/node/rows/package-info.java
@@ -0,0 +1,2 @@
+/** What the services that follow the store's rows have in common. */
+package org.clementinepost.node.rows;
