--- a/ctl/src/main/java/org/clementinepost/ctl/RequestLog.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/RequestLog.java
@@ -15,6 +15,7 @@
 import java.nio.file.Path;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.RunState;
 
 /**
  * The log lines of one request, in the order of their times.
@@ -103,13 +104,14 @@
                         + ", request "
                         + known.runState().label())
             .getOrElse("a backend server answered " + status);
-    return "After " + answer.get().text("millis") + " ms " + outcome + cause() + ".";
+    boolean refused = code.forAll(known -> known.runState() == RunState.NOT_RUN);
+    return "After " + answer.get().text("millis") + " ms " + outcome + cause(refused) + ".";
   }
 
-  /** The last thing before the answer that went wrong. */
-  private String cause() {
+  /** The last thing before the answer that went wrong; a refusal explains refusals alone. */
+  private String cause(boolean refused) {
     return lines
-        .findLast(line -> line.is("exchange") || isRefusal(line))
+        .findLast(line -> line.is("exchange") || (refused && isRefusal(line)))
         .map(RequestLog::told)
         .getOrElse("");
   }
--- a/ctl/src/test/java/org/clementinepost/ctl/CtlTest.java
+++ b/ctl/src/test/java/org/clementinepost/ctl/CtlTest.java
@@ -242,6 +242,22 @@
         .doesNotContain("r-12");
   }
 
+  @Test
+  void aRefusalElsewhereDoesNotExplainALostAnswer() throws IOException {
+    Path node =
+        log(
+            "node.log",
+            "{\"time\":\"1\",\"event\":\"admission\",\"request\":\"r-1\",\"result\":\"3001\"}",
+            "{\"time\":\"2\",\"event\":\"answer\",\"request\":\"r-1\",\"status\":\"502\","
+                + "\"code\":\"7003\",\"millis\":\"9\"}");
+
+    run("explain", "r-1", "--logs", node.toString());
+
+    assertThat(output.toString(StandardCharsets.UTF_8))
+        .contains("After 9 ms the node answered 502 for 7003")
+        .doesNotContain("refused it last");
+  }
+
   @Test
   void aRequestThatIsNotInTheLogsIsSaidToBeMissing() throws IOException {
     run("explain", "r-9", "--logs", log("empty.log").toString());
