--- a/api/src/main/java/org/clementinepost/api/RequestHead.java
+++ b/api/src/main/java/org/clementinepost/api/RequestHead.java
@@ -69,23 +69,15 @@
 
   /** The same request with another handling. */
   public RequestHead with(Handling next) {
-    return new RequestHead(
-        requestId,
-        attempt,
-        customer,
-        service,
-        method,
-        uri,
-        headers,
-        idempotent,
-        idempotencyKey,
-        timeoutMillis,
-        bodyBytes,
-        next);
+    return with(attempt, timeoutMillis, next);
   }
 
   /** The same request on its next attempt, with the time that is left. */
   public RequestHead nextAttempt(int nextAttempt, long remainingMillis) {
+    return with(nextAttempt, remainingMillis, handling);
+  }
+
+  private RequestHead with(int nextAttempt, long remainingMillis, Handling next) {
     return new RequestHead(
         requestId,
         nextAttempt,
@@ -98,6 +90,6 @@
         idempotencyKey,
         remainingMillis,
         bodyBytes,
-        handling);
+        next);
   }
 }
--- a/ctl/src/main/java/org/clementinepost/ctl/KeyGrantCommand.java
+++ b/ctl/src/main/java/org/clementinepost/ctl/KeyGrantCommand.java
@@ -20,7 +20,7 @@
   @Override
   public Outcome run(CommandContext context) {
     String secret = newSecret();
-    String hash = KeyHashes.of(secret);
+    String hash = Key.hash(secret);
     CustomerId customer = new CustomerId(context.argument());
     String name =
         context
--- a/kernel/src/main/java/org/clementinepost/kernel/TaskContext.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/TaskContext.java
@@ -19,4 +19,30 @@
     MonotonicClock clock,
     RandomGenerator random,
     Scheduler scheduler,
-    Spawner spawner) {}
+    Spawner spawner) {
+
+  /**
+   * Has the timer send the task a message again and again.
+   *
+   * @param subscription the name under which this is replaced or cancelled
+   */
+  public void sendEvery(
+      String subscription, long initialDelayMillis, long periodMillis, M message) {
+    registry
+        .find(TimerService.NAME)
+        .send(
+            new TimerService.Every(
+                subscription, initialDelayMillis, periodMillis, () -> self.send(message)));
+  }
+
+  /**
+   * Has the timer send the task a message once.
+   *
+   * @param subscription the name under which this is replaced or cancelled
+   */
+  public void sendAfter(String subscription, long delayMillis, M message) {
+    registry
+        .find(TimerService.NAME)
+        .send(new TimerService.Once(subscription, delayMillis, () -> self.send(message)));
+  }
+}
--- a/kernel/src/main/java/org/clementinepost/kernel/logging/JsonLinesHandler.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/logging/JsonLinesHandler.java
@@ -34,7 +34,7 @@
 
   JsonLinesHandler(PrintStream out, int capacityLines) {
     this.out = out;
-    this.buffer = new LogBuffer(capacityLines);
+    this.buffer = new LogBuffer(capacityLines, JsonLinesHandler::isRoutine);
     writer.setDaemon(true);
     writer.start();
   }
@@ -44,7 +44,7 @@
     if (!isLoggable(record)) {
       return;
     }
-    buffer.offer(LogLineFormat.line(record), isRoutine(record));
+    buffer.offer(record);
     if (asleep.compareAndSet(true, false)) {
       LockSupport.unpark(writer);
     }
--- a/kernel/src/main/java/org/clementinepost/kernel/logging/LogBuffer.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/logging/LogBuffer.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import java.util.logging.LogRecord;
 
 /**
  * Lines that wait to be written, so many at most.
@@ -14,19 +16,21 @@
   private static final int SAMPLED_ONE_IN = 10;
 
   private final int capacity;
-  private final ConcurrentLinkedQueue<String> lines = new ConcurrentLinkedQueue<>();
+  private final Predicate<LogRecord> routine;
+  private final ConcurrentLinkedQueue<LogRecord> lines = new ConcurrentLinkedQueue<>();
   private final AtomicInteger size = new AtomicInteger();
   private final AtomicLong routineSeen = new AtomicLong();
   private final AtomicLong sampledOut = new AtomicLong();
   private final AtomicLong dropped = new AtomicLong();
 
-  LogBuffer(int capacity) {
+  LogBuffer(int capacity, Predicate<LogRecord> routine) {
     this.capacity = capacity;
+    this.routine = routine;
   }
 
   /** Takes a line, or counts it as left out. */
-  void offer(String line, boolean routine) {
-    if (routine && size.get() >= capacity / 2 && !isSampled()) {
+  void offer(LogRecord line) {
+    if (size.get() >= capacity / 2 && routine.test(line) && !isSampled()) {
       sampledOut.incrementAndGet();
       return;
     }
@@ -50,12 +54,12 @@
   String drain() {
     StringBuilder all = new StringBuilder();
     for (int taken = 0; taken < capacity; taken++) {
-      String line = lines.poll();
+      LogRecord line = lines.poll();
       if (line == null) {
         break;
       }
       size.decrementAndGet();
-      all.append(line);
+      all.append(LogLineFormat.line(line));
     }
     return all.toString();
   }
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -42,20 +42,17 @@
 import org.clementinepost.node.routing.RoutingService;
 import org.clementinepost.node.settings.NodeSettings;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Scheduler;
 
 /** One running node: its services, in the order in which they start. */
 public final class Node {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final NodeSettings settings;
-  private final Scheduler scheduler;
   private final Kernel kernel;
   private final Member self;
 
-  private Node(NodeSettings settings, Scheduler scheduler, Kernel kernel, Member self) {
+  private Node(NodeSettings settings, Kernel kernel, Member self) {
     this.settings = settings;
-    this.scheduler = scheduler;
     this.kernel = kernel;
     this.self = self;
   }
@@ -71,20 +68,18 @@
         PeerListener.open(
             settings.peer(),
             address -> new Member(settings.node(), incarnation, address, settings.domain()));
-    Scheduler scheduler = SocketLoops.shared();
-    Kernel kernel = kernel(settings, backing, listener, scheduler, incarnation);
-    return new Node(settings, scheduler, kernel, listener.self());
+    Kernel kernel = kernel(settings, backing, listener, incarnation);
+    return new Node(settings, kernel, listener.self());
   }
 
   private static Kernel kernel(
-      NodeSettings settings,
-      Backing backing,
-      PeerListener listener,
-      Scheduler scheduler,
-      long seed) {
+      NodeSettings settings, Backing backing, PeerListener listener, long seed) {
     Member self = listener.self();
     Kernel.Builder builder =
-        Kernel.builder().scheduler(scheduler).seed(seed).service(MetricsService.definition());
+        Kernel.builder()
+            .scheduler(SocketLoops.shared())
+            .seed(seed)
+            .service(MetricsService.definition());
     backing.services().apply(self).forEach(builder::service);
     return builder
         .service(RoutingService.definition(self))
--- a/node/src/main/java/org/clementinepost/node/announce/AnnouncementReader.java
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnouncementReader.java
@@ -12,6 +12,7 @@
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.policy.host.Announcement;
+import org.clementinepost.storage.rows.JsonFields;
 
 /** Reads a backend server's announcement. */
 final class AnnouncementReader {
@@ -36,26 +37,18 @@
 
   private static Announcement announcement(JsonNode node) {
     return new Announcement(
-        new BackendServerId(text(node, "id")),
-        new ServiceId(text(node, "service")),
-        NetworkAddress.parse(text(node, "address")),
+        new BackendServerId(JsonFields.text(node, "id")),
+        new ServiceId(JsonFields.text(node, "service")),
+        NetworkAddress.parse(JsonFields.text(node, "address")),
         count(node, "slots"),
         count(node, "connections"),
-        Announcement.State.valueOf(text(node, "state").toUpperCase(Locale.ROOT)),
+        Announcement.State.valueOf(JsonFields.text(node, "state").toUpperCase(Locale.ROOT)),
         node.path("uptimeMillis").asLong(),
         node.path("load").path("busySlots").asInt(),
         0,
         Option.none());
   }
 
-  private static String text(JsonNode node, String field) {
-    JsonNode value = node.path(field);
-    if (!value.isTextual() || value.asText().isEmpty()) {
-      throw new IllegalArgumentException(field + " must be a text");
-    }
-    return value.asText();
-  }
-
   private static int count(JsonNode node, String field) {
     int value = node.path(field).asInt();
     if (value < 1 || value > MAX_SLOTS) {
--- a/node/src/main/java/org/clementinepost/node/announce/FirstLookService.java
+++ b/node/src/main/java/org/clementinepost/node/announce/FirstLookService.java
@@ -10,8 +10,6 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.kernel.TimerService;
-import org.clementinepost.node.configuration.ConfigurationMessage;
 import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.node.host.HostMessage;
 import org.clementinepost.node.host.HostService;
@@ -55,12 +53,7 @@
     this.address = address;
     this.service = service;
     this.reader = reader;
-    context
-        .registry()
-        .find(ConfigurationService.NAME)
-        .send(
-            new ConfigurationMessage.Subscribe(
-                snapshot -> context.self().send(new FirstLookMessage.Configured(snapshot))));
+    ConfigurationService.subscribe(context, FirstLookMessage.Configured::new);
   }
 
   /**
@@ -142,12 +135,7 @@
     }
     done = looks >= MAX_LOOKS;
     if (!done) {
-      context
-          .registry()
-          .find(TimerService.NAME)
-          .send(
-              new TimerService.Once(
-                  NAME.text(), GAP_MILLIS, () -> context.self().send(new FirstLookMessage.Look())));
+      context.sendAfter(NAME.text(), GAP_MILLIS, new FirstLookMessage.Look());
     }
   }
 }
--- a/node/src/main/java/org/clementinepost/node/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/ConfigurationService.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
+import java.util.function.Function;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.kernel.Behaviour;
@@ -10,7 +11,6 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.kernel.TimerService;
 import org.clementinepost.storage.PlatformService;
 import org.clementinepost.storage.config.ConfigurationStore;
 
@@ -32,15 +32,17 @@
       TaskContext<ConfigurationMessage> context, ConfigurationStore store) {
     this.context = context;
     this.store = store;
+    context.sendEvery(NAME.text(), 0, POLL_MILLIS, new ConfigurationMessage.Poll());
+  }
+
+  /** Has each snapshot that comes into force sent to a task, the one in force first. */
+  public static <M> void subscribe(TaskContext<M> context, Function<Snapshot, M> message) {
     context
         .registry()
-        .find(TimerService.NAME)
+        .find(NAME)
         .send(
-            new TimerService.Every(
-                NAME.text(),
-                0,
-                POLL_MILLIS,
-                () -> context.self().send(new ConfigurationMessage.Poll())));
+            new ConfigurationMessage.Subscribe(
+                snapshot -> context.self().send(message.apply(snapshot))));
   }
 
   /** Defines the service. */
--- a/node/src/main/java/org/clementinepost/node/directory/DirectoryService.java
+++ b/node/src/main/java/org/clementinepost/node/directory/DirectoryService.java
@@ -7,7 +7,6 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
 import org.clementinepost.node.peer.PeerService;
@@ -49,15 +48,7 @@
   }
 
   private Behaviour<DirectoryMessage> start() {
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Every(
-                NAME.text(),
-                TICK_MILLIS,
-                TICK_MILLIS,
-                () -> context.self().send(new DirectoryMessage.Tick())));
+    context.sendEvery(NAME.text(), TICK_MILLIS, TICK_MILLIS, new DirectoryMessage.Tick());
     context
         .registry()
         .find(MembershipService.NAME)
--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -10,8 +10,6 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.kernel.TimerService;
-import org.clementinepost.node.configuration.ConfigurationMessage;
 import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.node.directory.DirectoryMessage;
 import org.clementinepost.node.directory.DirectoryService;
@@ -39,21 +37,8 @@
   }
 
   private static Behaviour<HostMessage> start(TaskContext<HostMessage> context, Member self) {
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Every(
-                NAME.text(),
-                TICK_MILLIS,
-                TICK_MILLIS,
-                () -> context.self().send(new HostMessage.Tick())));
-    context
-        .registry()
-        .find(ConfigurationService.NAME)
-        .send(
-            new ConfigurationMessage.Subscribe(
-                snapshot -> context.self().send(new HostMessage.Configured(snapshot))));
+    context.sendEvery(NAME.text(), TICK_MILLIS, TICK_MILLIS, new HostMessage.Tick());
+    ConfigurationService.subscribe(context, HostMessage.Configured::new);
     Address<DirectoryMessage> directory = context.registry().find(DirectoryService.NAME);
     return Behaviour.deciding(
         HostState.empty(),
@@ -117,14 +102,7 @@
       return;
     }
     if (effect instanceof HostEffect.Wake wake) {
-      context
-          .registry()
-          .find(TimerService.NAME)
-          .send(
-              new TimerService.Once(
-                  WAKE_TIMER,
-                  wake.delayMillis(),
-                  () -> context.self().send(new HostMessage.Tick())));
+      context.sendAfter(WAKE_TIMER, wake.delayMillis(), new HostMessage.Tick());
       return;
     }
     if (effect instanceof HostEffect.Stopped done) {
--- a/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
+++ b/node/src/main/java/org/clementinepost/node/membership/MembershipService.java
@@ -10,7 +10,6 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
 import org.clementinepost.policy.membership.MembershipEffect;
@@ -49,15 +48,7 @@
             event -> event,
             new MembershipPolicy(),
             this::handle);
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Every(
-                NAME.text(),
-                0,
-                TICK_MILLIS,
-                () -> context.self().send(new MembershipMessage.Tick())));
+    context.sendEvery(NAME.text(), 0, TICK_MILLIS, new MembershipMessage.Tick());
   }
 
   /** Defines the service on a node. */
--- a/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
+++ b/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
@@ -8,7 +8,6 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.node.configuration.ConfigurationMessage;
 import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
@@ -52,12 +51,7 @@
     this.status = new NodeStatus(self, 0, 0, false);
     this.server =
         HttpServer.create().host(address.host()).port(address.port()).route(this::route).bindNow();
-    context
-        .registry()
-        .find(ConfigurationService.NAME)
-        .send(
-            new ConfigurationMessage.Subscribe(
-                snapshot -> context.self().send(new OperatorMessage.Configured(snapshot))));
+    ConfigurationService.subscribe(context, OperatorMessage.Configured::new);
     context
         .registry()
         .find(MembershipService.NAME)
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -119,12 +119,7 @@
   }
 
   private void tickAfter(long delayMillis) {
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Once(
-                timerName, delayMillis, () -> context.self().send(new ConnectionMessage.Tick())));
+    context.sendAfter(timerName, delayMillis, new ConnectionMessage.Tick());
   }
 
   private void take(ConnectionMessage message) {
--- a/node/src/main/java/org/clementinepost/node/peer/PeerService.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerService.java
@@ -20,7 +20,6 @@
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.SpawnedTask;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.kernel.TimerService;
 import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
 import org.clementinepost.wire.PeerCodec;
@@ -331,15 +330,7 @@
   }
 
   private void lookAfterLinks() {
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Every(
-                NAME.text(),
-                TICK_MILLIS,
-                TICK_MILLIS,
-                () -> context.self().send(new PeerServiceMessage.Tick())));
+    context.sendEvery(NAME.text(), TICK_MILLIS, TICK_MILLIS, new PeerServiceMessage.Tick());
   }
 
   private void keep(NodeId node, ConnectionMessage.Keep message) {
--- a/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
@@ -22,7 +22,6 @@
 import org.clementinepost.kernel.SuspendProofClock;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
-import org.clementinepost.node.configuration.ConfigurationMessage;
 import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
@@ -75,26 +74,14 @@
     this.seating = new Seating(context, self, store, cautious, this::seated, this::unseated);
     this.kept = QuotaBuckets.emptyAt(context.clock().nowNanos());
     this.emergency = QuotaBuckets.emptyAt(context.clock().nowNanos());
-    context
-        .registry()
-        .find(ConfigurationService.NAME)
-        .send(
-            new ConfigurationMessage.Subscribe(
-                next -> context.self().send(new QuotaServiceMessage.Configured(next))));
+    ConfigurationService.subscribe(context, QuotaServiceMessage.Configured::new);
     lookUpLater();
   }
 
   /** Nodes that start together do not all ask at once. */
   private void lookUpLater() {
     long delayMillis = context.random().nextLong(MAX_FIRST_LOOK_MILLIS);
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Once(
-                FIRST_LOOK_TIMER,
-                delayMillis,
-                () -> context.self().send(new QuotaServiceMessage.LookUp())));
+    context.sendAfter(FIRST_LOOK_TIMER, delayMillis, new QuotaServiceMessage.LookUp());
   }
 
   /** Defines the service on a node. */
@@ -191,15 +178,19 @@
 
   private void takeKept(
       Customer customer, RequestHead head, Reply<Either<Failure, RequestHead>> reply) {
-    Option<QuotaBuckets> after = kept.take(customer, context.clock().nowNanos());
-    after.forEach(next -> kept = next);
-    if (after.isEmpty()) {
+    if (!takeKept(customer)) {
       refuse(head, reply, ResultCode.QUOTA_EXCEEDED);
       return;
     }
     reply.send(Either.right(head));
   }
 
+  private boolean takeKept(Customer customer) {
+    Option<QuotaBuckets> after = kept.take(customer, context.clock().nowNanos());
+    after.forEach(next -> kept = next);
+    return after.isDefined();
+  }
+
   private static void refuse(
       RequestHead head, Reply<Either<Failure, RequestHead>> reply, ResultCode code) {
     logger.atInfo().log(
@@ -251,24 +242,14 @@
     if (customer.isEmpty()) {
       return new QuotaPeerMessage.Answer(ask.ask(), true, true, 0);
     }
-    long nowNanos = context.clock().nowNanos();
-    Option<QuotaBuckets> after = kept.take(customer.get(), nowNanos);
-    after.forEach(next -> kept = next);
-    return after.isDefined()
+    return takeKept(customer.get())
         ? new QuotaPeerMessage.Answer(ask.ask(), true, true, 0)
         : new QuotaPeerMessage.Answer(
-            ask.ask(), true, false, kept.waitMillis(customer.get(), nowNanos));
+            ask.ask(), true, false, kept.waitMillis(customer.get(), context.clock().nowNanos()));
   }
 
   private void sweepSoon() {
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Once(
-                SWEEP_TIMER,
-                SWEEP_MILLIS,
-                () -> context.self().send(new QuotaServiceMessage.Sweep())));
+    context.sendAfter(SWEEP_TIMER, SWEEP_MILLIS, new QuotaServiceMessage.Sweep());
   }
 
   /** A keeper that does not answer soon is made up for by the node's own allowance. */
@@ -324,15 +305,8 @@
     logger.atInfo().log("event=quota-keeper node=%s first=%s", self.node(), first);
     long nowNanos = context.clock().nowNanos();
     kept = first ? QuotaBuckets.fullAt(nowNanos) : QuotaBuckets.emptyAt(nowNanos);
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Every(
-                NAME.text(),
-                RENEWAL_LOOK_MILLIS,
-                RENEWAL_LOOK_MILLIS,
-                () -> context.self().send(new QuotaServiceMessage.Tick())));
+    context.sendEvery(
+        NAME.text(), RENEWAL_LOOK_MILLIS, RENEWAL_LOOK_MILLIS, new QuotaServiceMessage.Tick());
     Map<Long, PendingAsk> own = pending;
     pending = LinkedHashMap.empty();
     own.values()
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
@@ -8,8 +8,6 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
-import org.clementinepost.kernel.TimerService;
-import org.clementinepost.node.configuration.ConfigurationMessage;
 import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
@@ -36,21 +34,8 @@
   }
 
   private static Behaviour<RoutingMessage> start(TaskContext<RoutingMessage> context, Member self) {
-    context
-        .registry()
-        .find(TimerService.NAME)
-        .send(
-            new TimerService.Every(
-                NAME.text(),
-                TICK_MILLIS,
-                TICK_MILLIS,
-                () -> context.self().send(new RoutingMessage.Tick())));
-    context
-        .registry()
-        .find(ConfigurationService.NAME)
-        .send(
-            new ConfigurationMessage.Subscribe(
-                snapshot -> context.self().send(new RoutingMessage.Configured(snapshot))));
+    context.sendEvery(NAME.text(), TICK_MILLIS, TICK_MILLIS, new RoutingMessage.Tick());
+    ConfigurationService.subscribe(context, RoutingMessage.Configured::new);
     return Behaviour.deciding(
         RoutingState.empty(),
         message -> event(message, context),
--- a/node/src/test/java/org/clementinepost/node/ArchitectureTest.java
+++ b/node/src/test/java/org/clementinepost/node/ArchitectureTest.java
@@ -9,6 +9,7 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import org.clementinepost.api.config.Key;
 
 /** Holds the node to its shape: tasks that own sockets and state, and talk by messages. */
 @AnalyzeClasses(
@@ -66,6 +67,14 @@
           .dependOnClassesThat()
           .haveSimpleName("KeyHash");
 
+  @ArchTest
+  final ArchRule theEdgeIsTheOnlyOneThatHashesAKey =
+      noClasses()
+          .that()
+          .resideOutsideOfPackage("..edge..")
+          .should()
+          .callMethod(Key.class, "hash", String.class);
+
   @ArchTest
   final ArchRule messagesAreSealedInterfaces =
       classes().that().haveSimpleNameEndingWith("Message").should().beInterfaces();
