The log of a planned stop is written to its end

Cause: the stop ran as a shutdown hook. The hook of java.util.logging runs beside it and takes the handlers away at once; what is logged from then on goes nowhere. Excluded: the writer's gathering of 50 ms, since `close` flushes what waits.

The signal is now handled by the node itself, which ends the process (with the same exit code, 128 and the signal's number) only when the stop is over; the logging's hook then closes a log that is complete.

Test: PlannedStopProcessTest.theLogOfAPlannedStopEndsWithItsOutcome.

--- a/node/src/main/java/org/clementinepost/node/NodeMain.java
+++ b/node/src/main/java/org/clementinepost/node/NodeMain.java
@@ -25,6 +25,10 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private static final String RELOAD_SIGNAL = "HUP";
+  private static final Vector<String> STOP_SIGNALS = Vector.of("TERM", "INT");
+
+  /** What a process ends with after a signal, by the convention of shells: this and its number. */
+  private static final int SIGNAL_EXIT_BASE = 128;
 
   private final PrintWriter out;
   private final PrintWriter err;
@@ -131,7 +135,7 @@
   private int start(String settingsFile, NodeSettings settings, Backing backing) {
     try {
       Node node = Node.start(settings, backing, System.currentTimeMillis());
-      Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "node-stop"));
+      STOP_SIGNALS.forEach(name -> Signal.handle(new Signal(name), signal -> stop(node, signal)));
       Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reload(node, settingsFile));
       NodePorts ports = node.ports().block();
       logger.atInfo().log(
@@ -145,6 +149,17 @@
     }
   }
 
+  /**
+   * Stops the node before the virtual machine begins to go.
+   *
+   * <p>A shutdown hook would run beside the one that closes the log, and what the stop tells would
+   * be lost.
+   */
+  private static void stop(Node node, Signal signal) {
+    node.stop();
+    System.exit(SIGNAL_EXIT_BASE + signal.getNumber());
+  }
+
   /** A file that cannot be read changes nothing. */
   private static void reload(Node node, String settingsFile) {
     NodeSettingsReader.read(Path.of(settingsFile))
--- a/node/src/test/java/org/clementinepost/node/system/PlannedStopProcessTest.java
+++ b/node/src/test/java/org/clementinepost/node/system/PlannedStopProcessTest.java
@@ -4,9 +4,11 @@
 
 import io.vavr.collection.Vector;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.clementinepost.node.NodeMain;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -43,6 +45,32 @@
     }
   }
 
+  @Test
+  void theLogOfAPlannedStopEndsWithItsOutcome() throws Exception {
+    Path settings =
+        Files.writeString(
+            folder.resolve("alone.json"),
+            """
+            {"nodeId": "alone", "failureDomain": "a",
+             "ingress": "127.0.0.1:0", "peer": "127.0.0.1:0",
+             "announce": "127.0.0.1:0", "operator": "127.0.0.1:0",
+             "platform": {"embedded": true}}
+            """);
+    try (RunningProcess node =
+        RunningProcess.start(
+            folder.resolve("alone.log"),
+            Vector.of("-Djava.util.logging.config.file=../config/logging.properties"),
+            NodeMain.class,
+            "--settings",
+            settings.toString())) {
+      node.terminate();
+      assertThat(node.restOfOutput().filter(line -> line.contains("\"node-stopp")))
+          .satisfiesExactly(
+              first -> assertThat(first).contains("node-stopping"),
+              last -> assertThat(last).contains("node-stopped", "\"whole\":\"true\""));
+    }
+  }
+
   private Vector<Integer> statuses(String node, AtomicBoolean stopped) {
     Vector<Integer> statuses = Vector.empty();
     while (!stopped.get()) {
--- a/node/src/test/java/org/clementinepost/node/system/RunningProcess.java
+++ b/node/src/test/java/org/clementinepost/node/system/RunningProcess.java
@@ -17,30 +17,40 @@
   private static final long STOP_LIMIT_SECONDS = 60;
 
   private final Process process;
+  private final BufferedReader out;
   private final JsonNode listening;
 
-  private RunningProcess(Process process, JsonNode listening) {
+  private RunningProcess(Process process, BufferedReader out, JsonNode listening) {
     this.process = process;
+    this.out = out;
     this.listening = listening;
   }
 
   /** Starts a main class and waits until it says where it listens. */
   static RunningProcess start(Path log, Class<?> main, String... arguments) throws IOException {
+    return start(log, Vector.empty(), main, arguments);
+  }
+
+  /** Starts a main class with options of the virtual machine. */
+  static RunningProcess start(Path log, Vector<String> options, Class<?> main, String... arguments)
+      throws IOException {
     Vector<String> command =
         Vector.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx192m",
                 "-XX:TieredStopAtLevel=1",
                 "-cp",
-                System.getProperty("java.class.path"),
-                main.getName())
+                System.getProperty("java.class.path"))
+            .appendAll(options)
+            .append(main.getName())
             .appendAll(Vector.of(arguments));
     Process process = new ProcessBuilder(command.asJava()).redirectError(log.toFile()).start();
     BufferedReader out =
         new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
     for (String line = out.readLine(); line != null; line = out.readLine()) {
       if (line.startsWith(LISTENING)) {
-        return new RunningProcess(process, MAPPER.readTree(line.substring(LISTENING.length())));
+        return new RunningProcess(
+            process, out, MAPPER.readTree(line.substring(LISTENING.length())));
       }
     }
     throw new IOException(main.getSimpleName() + " ended before it listened; see " + log);
@@ -58,14 +68,19 @@
     process.destroyForcibly().onExit().join();
   }
 
-  /** Asks the process to stop and waits until it has. */
+  /** Asks the process to stop and waits until it has; its output can still be read. */
   void terminate() throws InterruptedException {
-    process.destroy();
+    process.toHandle().destroy();
     if (!process.waitFor(STOP_LIMIT_SECONDS, TimeUnit.SECONDS)) {
       throw new IllegalStateException("the process did not stop");
     }
   }
 
+  /** What an ended process has written to standard output since it said where it listens. */
+  Vector<String> restOfOutput() {
+    return Vector.ofAll(out.lines());
+  }
+
   void freeze() throws IOException, InterruptedException {
     signal("STOP");
   }
