The bound of a planned stop is the platform's own grace

What callers saw: whatever was in hand 4.8 s after SIGTERM was cut, though the platform kills after `graceS` (6 s here) and backend servers may work for many seconds; the platform counts requests as lost that are cut before the last sixth of its grace, which begins at 5 s.

The setting takes fractions, as the platform's bounds may be fractions. `stopTimeoutMillis` is gone.

--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
@@ -27,7 +27,7 @@
  * @param farewellMillis how long a stopping node goes on taking callers
  * @param connectionsPerServer connections that it opens to one backend server
  * @param edge the limits at the callers' port
- * @param stopTimeoutMillis how long a planned stop waits for requests in hand
+ * @param stopGraceMillis what the platform waits after SIGTERM before it kills the process
  */
 public record NodeSettings(
     NodeId node,
@@ -46,7 +46,7 @@
     long farewellMillis,
     int connectionsPerServer,
     EdgeLimits edge,
-    long stopTimeoutMillis) {
+    long stopGraceMillis) {
 
   /**
    * The limits at the callers' port.
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
@@ -21,6 +21,8 @@
   private static final ObjectMapper MAPPER =
       new ObjectMapper().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private NodeSettingsReader() {}
 
   /** Reads a file; gives either the settings or everything that is wrong with them. */
@@ -85,7 +87,7 @@
         document.number(SettingsCatalog.FAREWELL),
         (int) document.number(SettingsCatalog.CONNECTIONS_PER_SERVER),
         edgeLimits(document),
-        document.number(SettingsCatalog.STOP_TIMEOUT));
+        Math.round(document.decimal(SettingsCatalog.STOP_GRACE) * MILLIS_PER_SECOND));
   }
 
   private static NodeSettings.EdgeLimits edgeLimits(SettingsDocument document) {
--- a/node/src/main/java/org/clementinepost/node/settings/Setting.java
+++ b/node/src/main/java/org/clementinepost/node/settings/Setting.java
@@ -29,6 +29,7 @@
     URL,
     FLAG,
     NUMBER,
+    DECIMAL,
     SHARE
   }
 
@@ -45,4 +46,10 @@
     return new Setting(
         path, Kind.NUMBER, unit, Option.some(Long.toString(fallback)), min, max, meaning);
   }
+
+  static Setting decimal(
+      String path, String unit, long fallback, long min, long max, String meaning) {
+    return new Setting(
+        path, Kind.DECIMAL, unit, Option.some(Long.toString(fallback)), min, max, meaning);
+  }
 }
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
@@ -149,14 +149,14 @@
           500,
           600_000,
           "How long a caller may send nothing while a request is being read.");
-  static final Setting STOP_TIMEOUT =
-      Setting.number(
-          "stopTimeoutMillis",
-          "ms",
-          30_000,
-          0,
-          3_600_000,
-          "How long a planned stop waits for requests in hand.");
+  static final Setting STOP_GRACE =
+      Setting.decimal(
+          "stopGraceSeconds",
+          "s",
+          30,
+          1,
+          3_600,
+          "What the platform waits after SIGTERM before it kills the process.");
 
   private static final Vector<Setting> ALL =
       Vector.of(
@@ -186,7 +186,7 @@
           MAX_BODY_BYTES,
           IDLE_TIMEOUT,
           READ_TIMEOUT,
-          STOP_TIMEOUT);
+          STOP_GRACE);
 
   private SettingsCatalog() {}
 
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsDocument.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsDocument.java
@@ -69,20 +69,24 @@
           value.isNumber() && value.asDouble() >= 0 && value.asDouble() <= 1
               ? Option.none()
               : Option.some("give a number from 0 to 1");
-      case NUMBER -> numberProblem(setting, value);
+      case NUMBER -> numberProblem(setting, value, value.isIntegralNumber(), "whole number");
+      case DECIMAL -> numberProblem(setting, value, value.isNumber(), "number");
     };
   }
 
-  private static Option<String> numberProblem(Setting setting, JsonNode value) {
+  private static Option<String> numberProblem(
+      Setting setting, JsonNode value, boolean proper, String kind) {
     boolean fits =
-        value.isIntegralNumber()
+        proper
             && value.canConvertToLong()
-            && value.asLong() >= setting.min()
-            && value.asLong() <= setting.max();
+            && value.asDouble() >= setting.min()
+            && value.asDouble() <= setting.max();
     return fits
         ? Option.none()
         : Option.some(
-            "give a whole number of "
+            "give a "
+                + kind
+                + " of "
                 + setting.unit()
                 + " from "
                 + setting.min()
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsReference.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsReference.java
@@ -25,7 +25,8 @@
   }
 
   private static String row(Setting setting) {
-    boolean number = setting.kind() == Setting.Kind.NUMBER;
+    boolean number =
+        setting.kind() == Setting.Kind.NUMBER || setting.kind() == Setting.Kind.DECIMAL;
     return String.join(
         " ",
         "|",
@@ -54,6 +55,7 @@
       case URL -> "URL";
       case FLAG -> "true or false";
       case NUMBER -> "whole number";
+      case DECIMAL -> "number";
       case SHARE -> "number from 0 to 1";
     };
   }
--- a/node/src/main/java/org/clementinepost/node/stop/StopService.java
+++ b/node/src/main/java/org/clementinepost/node/stop/StopService.java
@@ -58,8 +58,7 @@
     this.self = settings.node();
     this.registry = context.registry();
     this.metrics = registry.find(MetricsService.NAME);
-    long farewellMillis = settings.farewellMillis();
-    this.policy = new StopPolicy(farewellMillis, farewellMillis + settings.stopTimeoutMillis());
+    this.policy = new StopPolicy(settings.farewellMillis(), settings.stopGraceMillis());
   }
 
   /** Defines the service. */
--- a/node/src/test/java/org/clementinepost/node/settings/NodeSettingsReaderTest.java
+++ b/node/src/test/java/org/clementinepost/node/settings/NodeSettingsReaderTest.java
@@ -31,6 +31,23 @@
     assertThat(settings.platform()).isEmpty();
   }
 
+  @Test
+  void theBoundOfAStopIsThePlatformsGraceAlsoWhereThatIsAFraction() {
+    String grace = ", \"stopGraceSeconds\": 7.5";
+    assertThat(findings(WHOLE.formatted(grace))).isEmpty();
+    assertThat(NodeSettingsReader.parse(WHOLE.formatted(grace)).get().stopGraceMillis())
+        .isEqualTo(7_500);
+  }
+
+  @Test
+  void aGraceThatIsNoNumberOfSecondsIsRefused() {
+    for (String grace : Vector.of("0", "3601", "\"6\"")) {
+      assertThat(findings(WHOLE.formatted(", \"stopGraceSeconds\": " + grace)))
+          .extracting(SettingsFinding::path, SettingsFinding::code)
+          .containsExactly(tuple("stopGraceSeconds", ResultCode.SETTING_OUT_OF_BOUNDS));
+    }
+  }
+
   @Test
   void everythingThatIsWrongIsToldAtOnce() {
     Vector<SettingsFinding> findings =
