A stopping host waits until other nodes have their answers

What callers would see: an answer that the host had read whole from its backend server, and that was still on its way to the other node (its reader slow, its link slow, or the frames not yet in the socket), is cut when the host goes; the other node answers 502.

Cause: an admission ends when the backend server's answer has been read; answers up to 1 MiB are read whole before the first frame is sent. The stop asked for admissions alone.

At a stop each connection that serves streams of another node tells how many are in hand. A stream is in hand until its last frame is known to have arrived: a ping is sent behind it, and frames arrive in their order, so the answer to the ping says so. That is more than that the frames are with the socket, which still loses them if the process ends with unread bytes. Connections that have sent no frame of a stream for 3 s need no question, and one that stays silent ends after 3 s as before, so that a dead node does not hold up a stop. The stop waits for this part like for the others.

--- a/node/src/main/java/org/clementinepost/node/peer/ConnectionMessage.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ConnectionMessage.java
@@ -1,6 +1,7 @@
 package org.clementinepost.node.peer;
 
 import io.vavr.control.Either;
+import java.util.function.IntConsumer;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
@@ -31,6 +32,14 @@
   /** Asks the other side for a sign of life; false comes when the connection ends first. */
   record Probe(Reply<Boolean> alive) implements ConnectionMessage {}
 
+  /**
+   * The node is stopping.
+   *
+   * @param inHand is told how many streams of the other side are not known to have ended there, now
+   *     and at each change
+   */
+  record Drain(IntConsumer inHand) implements ConnectionMessage {}
+
   /** Opens a stream for a request. */
   record Open(
       BackendServerId server,
--- a/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
@@ -147,8 +147,8 @@
   }
 
   @Override
-  public boolean isIdle() {
-    return streams.isEmpty();
+  public int open() {
+    return streams.size();
   }
 
   @Override
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Option;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
@@ -51,11 +52,15 @@
   private final long idleLimitNanos;
   private Option<NodeId> peer = Option.none();
   private Vector<Reply<Boolean>> probes = Vector.empty();
+  private Option<IntConsumer> drained = Option.none();
+  private int toldInHand = -1;
+  private SentAnswers sentAnswers = SentAnswers.none();
   private boolean kept;
   private long lastHeardNanos;
   private long lastSaidNanos;
   private long watchedSinceNanos;
   private long ticks;
+  private long pings;
   private boolean watching;
   private boolean doubted;
   private boolean closed;
@@ -107,6 +112,9 @@
       return;
     }
     take(message);
+    if (!closed) {
+      drained.forEach(this::tellInHand);
+    }
     if (!watching && isWatched() && !closed) {
       watching = true;
       watchedSinceNanos = context.clock().nowNanos();
@@ -115,7 +123,33 @@
   }
 
   private boolean isWatched() {
-    return kept || !streams.isIdle();
+    return kept || !streams.isIdle() || (drained.isDefined() && !sentAnswers.arrived());
+  }
+
+  /** An answer is in hand until the other node is known to have it. */
+  private void tellInHand(IntConsumer inHand) {
+    if (streams.isIdle() && sentAnswers.unasked()) {
+      ping();
+      sentAnswers = sentAnswers.asked(pings);
+    }
+    int now = sentAnswers.arrived() ? streams.open() : Math.max(1, streams.open());
+    if (now != toldInHand) {
+      toldInHand = now;
+      inHand.accept(now);
+    }
+  }
+
+  /** What was sent long ago on a connection that is still open has arrived. */
+  private void drain(IntConsumer inHand) {
+    drained = Option.some(inHand);
+    if (context.clock().nowNanos() - sentAnswers.sentNanos() > SILENCE_LIMIT_NANOS) {
+      sentAnswers = SentAnswers.none();
+    }
+  }
+
+  private void ping() {
+    pings++;
+    write(new LinkMessage.Ping(pings));
   }
 
   private void tickAfter(long delayMillis) {
@@ -147,7 +181,11 @@
     }
     if (message instanceof ConnectionMessage.Probe probe) {
       probes = probes.append(probe.alive());
-      write(new LinkMessage.Ping(ticks));
+      ping();
+      return;
+    }
+    if (message instanceof ConnectionMessage.Drain drain) {
+      drain(drain.inHand());
       return;
     }
     streams.local(message);
@@ -189,7 +227,8 @@
       write(new LinkMessage.Pong(ping.sequence()));
       return null;
     }
-    if (message instanceof LinkMessage.Pong) {
+    if (message instanceof LinkMessage.Pong pong) {
+      sentAnswers = sentAnswers.answered(pong.sequence());
       return null;
     }
     if (message instanceof LinkMessage.Hello hello) {
@@ -228,7 +267,7 @@
     ticks++;
     boolean quiet = silenceNanos >= TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS);
     if ((quiet && !streams.isIdle()) || ticks % TICKS_PER_KEPT_PING == 0) {
-      write(new LinkMessage.Ping(ticks));
+      ping();
     }
   }
 
@@ -247,6 +286,9 @@
 
   private void write(PeerMessage message) {
     lastSaidNanos = context.clock().nowNanos();
+    if (message instanceof StreamMessage) {
+      sentAnswers = sentAnswers.sent(lastSaidNanos);
+    }
     transport.send(codec.encode(message));
   }
 
--- a/node/src/main/java/org/clementinepost/node/peer/PeerService.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerService.java
@@ -9,6 +9,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
@@ -66,6 +67,8 @@
   private Map<Address<ConnectionMessage>, SpawnedTask<ConnectionMessage>> accepted =
       HashMap.empty();
   private Map<NodeId, Address<ConnectionMessage>> greeted = HashMap.empty();
+  private Map<Address<ConnectionMessage>, Integer> inHand = HashMap.empty();
+  private Option<IntConsumer> drained = Option.none();
 
   private PeerService(
       TaskContext<PeerServiceMessage> context, PeerListener listener, ControlReceiver control) {
@@ -110,8 +113,7 @@
       return;
     }
     if (message instanceof PeerServiceMessage.Accepted arrived) {
-      SpawnedTask<ConnectionMessage> task = spawn(arrived.connection(), false);
-      accepted = accepted.put(task.address(), task);
+      accepted(spawn(arrived.connection(), false));
       return;
     }
     if (message instanceof PeerServiceMessage.Members changed) {
@@ -126,6 +128,17 @@
   }
 
   private void connectionChanged(PeerServiceMessage message) {
+    if (message instanceof PeerServiceMessage.Drain drain) {
+      drained = Option.some(drain.inHand());
+      accepted.values().forEach(this::drain);
+      tellInHand();
+      return;
+    }
+    if (message instanceof PeerServiceMessage.InHand told) {
+      inHand = inHand.put(told.connection(), told.streams());
+      tellInHand();
+      return;
+    }
     if (message instanceof PeerServiceMessage.Dialed result) {
       dialed(result);
       return;
@@ -145,6 +158,25 @@
     kept.due(context.clock().nowMillis()).forEach(this::dialKept);
   }
 
+  private void accepted(SpawnedTask<ConnectionMessage> task) {
+    accepted = accepted.put(task.address(), task);
+    if (drained.isDefined()) {
+      drain(task);
+    }
+  }
+
+  private void drain(SpawnedTask<ConnectionMessage> task) {
+    Address<ConnectionMessage> connection = task.address();
+    inHand = inHand.put(connection, 1);
+    connection.send(
+        new ConnectionMessage.Drain(
+            streams -> context.self().send(new PeerServiceMessage.InHand(connection, streams))));
+  }
+
+  private void tellInHand() {
+    drained.forEach(told -> told.accept(inHand.values().sum().intValue()));
+  }
+
   private Option<Member> address(NodeId node) {
     return members.get(node).orElse(() -> kept.member(node));
   }
@@ -350,6 +382,8 @@
   private void ended(Address<ConnectionMessage> connection) {
     accepted.get(connection).forEach(task -> task.stop().dispose());
     accepted = accepted.remove(connection);
+    inHand = inHand.remove(connection);
+    tellInHand();
     doubted.get(connection).forEach(task -> task.stop().dispose());
     doubted = doubted.remove(connection);
     greeted = greeted.filterValues(address -> address != connection);
--- a/node/src/main/java/org/clementinepost/node/peer/PeerServiceMessage.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerServiceMessage.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
+import java.util.function.IntConsumer;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
@@ -59,6 +60,17 @@
   /** A connection has ended. */
   record Ended(Address<ConnectionMessage> connection) implements PeerServiceMessage {}
 
+  /**
+   * The node is stopping.
+   *
+   * @param inHand is told how many requests of other nodes wait for their answers, now and at each
+   *     change
+   */
+  record Drain(IntConsumer inHand) implements PeerServiceMessage {}
+
+  /** A connection of another node has so many streams that have not ended there. */
+  record InHand(Address<ConnectionMessage> connection, int streams) implements PeerServiceMessage {}
+
   /** It is time to dial links that are down. */
   record Tick() implements PeerServiceMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/stop/StopService.java
+++ b/node/src/main/java/org/clementinepost/node/stop/StopService.java
@@ -27,6 +27,8 @@
 import org.clementinepost.node.metrics.MetricsService;
 import org.clementinepost.node.operator.OperatorMessage;
 import org.clementinepost.node.operator.OperatorService;
+import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.peer.PeerServiceMessage;
 import org.clementinepost.node.quota.QuotaService;
 import org.clementinepost.node.quota.QuotaServiceMessage;
 import org.clementinepost.node.settings.NodeSettings;
@@ -115,6 +117,7 @@
     registry.find(QuotaService.NAME).send(new QuotaServiceMessage.Leave());
     registry.find(EdgeService.NAME).send(new EdgeMessage.Farewell());
     registry.find(HostService.NAME).send(new HostMessage.Stop(listener(StopPart.ADMISSIONS)));
+    registry.find(PeerService.NAME).send(new PeerServiceMessage.Drain(listener(StopPart.STREAMS)));
   }
 
   private IntConsumer listener(StopPart part) {
--- a/policy/src/main/java/org/clementinepost/policy/stop/StopPart.java
+++ b/policy/src/main/java/org/clementinepost/policy/stop/StopPart.java
@@ -4,6 +4,8 @@
 public enum StopPart {
   /** Callers' connections with a request that has no whole answer yet. */
   CALLERS("callers"),
+  /** Requests of other nodes whose answers these do not have yet. */
+  STREAMS("streams"),
   /** Requests that a backend server of this VM is running. */
   ADMISSIONS("admissions");
 
--- a/policy/src/test/java/org/clementinepost/policy/stop/StopPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/stop/StopPolicyTest.java
@@ -30,6 +30,7 @@
   }
 
   private void hostIsEmpty() {
+    told(StopPart.STREAMS, 0);
     told(StopPart.ADMISSIONS, 0);
   }
 
@@ -70,16 +71,17 @@
         .containsExactly(
             new StopEffect.Go(
                 false,
-                HashMap.of(StopPart.CALLERS, 2, StopPart.ADMISSIONS, 0)));
+                HashMap.of(StopPart.CALLERS, 2, StopPart.STREAMS, 0, StopPart.ADMISSIONS, 0)));
     assertThat(told(StopPart.CALLERS, 0)).isEmpty();
   }
 
   @Test
   void aPartThatHasNotToldOfItselfIsNotTakenForEmpty() {
     decide(new StopEvent.Asked(0));
+    told(StopPart.ADMISSIONS, 0);
     at(FAREWELL_MILLIS);
     assertThat(told(StopPart.CALLERS, 0)).isEmpty();
-    assertThat(told(StopPart.ADMISSIONS, 0)).hasSize(1).allMatch(effect -> isGo(effect, true));
+    assertThat(told(StopPart.STREAMS, 0)).hasSize(1).allMatch(effect -> isGo(effect, true));
   }
 
   @Test
