Hand a short answer of another node on when it is whole

What callers saw: a connection that closed after the head of an answer, or in the middle of its body, when the connection between two nodes ended at that moment. A request that may be repeated was lost in the same way as one that may not.

Cause: an ingress handed the head of an answer on as soon as it had come from the host node. From then on nothing was left but to close the caller's connection when the rest did not come: the connection between the nodes was reset, given up after 3 s of silence, or ended because its process had been replaced. The host gathers answers before it passes them on, so this was the only place where a short answer could still break off.

Evidence: by reading, and by the tests, which failed on the code before: anAnswerWhoseConnectionEndsMidwayIsAFailureAndNoBrokenAnswer, aConnectionInDoubtGivesBackARepeatableRequestWhoseAnswerIsNotWhole, anAnswerThatTheOtherSideCannotFinishIsAFailure and anAnswerOfAnotherLengthThanItsEndTellsIsAFailure, each with "getLeft() on Right": the answer had been handed on.

Excluded: the local path. BackendClient gathers what its backend server sends, up to a declared length of 1 MiB, and gives a failure when it breaks off.

Why it works: the connection's task asks for the body itself as soon as the head has come and replies once the body is whole, so that until then the stream can still end in a failure, which the pipeline repeats or answers with 502. Doubt now also gives back a repeatable request whose answer is not whole.

--- a/node/src/main/java/org/clementinepost/node/peer/BodyReceiver.java
+++ b/node/src/main/java/org/clementinepost/node/peer/BodyReceiver.java
@@ -1,5 +1,6 @@
 package org.clementinepost.node.peer;
 
+import io.vavr.control.Option;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
@@ -17,7 +18,7 @@
  */
 final class BodyReceiver {
   /** Chunks that may be on their way on one stream. */
-  private static final int WINDOW_CHUNKS = 32;
+  static final int WINDOW_CHUNKS = 32;
 
   private final Sinks.Many<Chunk> sink = Sinks.many().unicast().onBackpressureBuffer();
   private final Flux<Chunk> body;
@@ -46,15 +47,22 @@
     sink.tryEmitNext(chunk);
   }
 
+  long receivedBytes() {
+    return receivedBytes;
+  }
+
+  /** What is wrong with a body that ends here, for the length that the other side has counted. */
+  Option<Failure> lengthFailure(long totalBytes) {
+    return Option.when(
+        totalBytes != receivedBytes,
+        () ->
+            Failure.of(
+                ResultCode.PEER_PROTOCOL,
+                "body of " + receivedBytes + " bytes ended as " + totalBytes));
+  }
+
   void end(long totalBytes) {
-    if (totalBytes == receivedBytes) {
-      sink.tryEmitComplete();
-      return;
-    }
-    fail(
-        Failure.of(
-            ResultCode.PEER_PROTOCOL,
-            "body of " + receivedBytes + " bytes ended as " + totalBytes));
+    lengthFailure(totalBytes).peek(this::fail).onEmpty(sink::tryEmitComplete);
   }
 
   void fail(Failure failure) {
--- a/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
@@ -14,15 +14,19 @@
 
 /** The streams of the side that opens them: requests out, answers in. */
 final class OpenedStreams implements StreamRole {
-  /** One request that has not ended; its receiver is there once the answer's head has come. */
+  /** One request that has not ended; its answer is there once the answer's head has come. */
   private record Opened(
       boolean repeatable,
       BodySender request,
-      Option<BodyReceiver> answer,
+      Option<ArrivingAnswer> answer,
       Reply<Either<Failure, Answer>> reply) {
 
-    Opened answeredBy(BodyReceiver receiver) {
-      return new Opened(repeatable, request, Option.some(receiver), reply);
+    Opened answeredBy(ArrivingAnswer arriving) {
+      return new Opened(repeatable, request, Option.some(arriving), reply);
+    }
+
+    boolean isHandedOn() {
+      return answer.exists(ArrivingAnswer::isHandedOn);
     }
   }
 
@@ -83,20 +87,27 @@
     if (opened.answer().isDefined()) {
       return;
     }
-    BodyReceiver receiver = new BodyReceiver(answered.streamId(), self);
-    streams = streams.put(answered.streamId(), opened.answeredBy(receiver));
-    opened.reply().send(Either.right(new Answer(answered.head(), receiver.body())));
+    long streamId = answered.streamId();
+    ArrivingAnswer arriving =
+        new ArrivingAnswer(
+            answered.head(),
+            new BodyReceiver(streamId, self),
+            chunks -> wire.accept(new StreamMessage.Demand(streamId, chunks)),
+            opened.reply());
+    streams = streams.put(streamId, opened.answeredBy(arriving));
   }
 
   /** Ends a stream; a request that a refusal leaves unread can still be sent elsewhere. */
   private static void fail(Opened opened, Failure failure) {
-    if (opened.answer().isDefined()) {
-      opened.answer().get().fail(failure);
+    if (opened.isHandedOn()) {
       opened.request().abandon();
-      return;
+    } else {
+      opened.request().cancelIfStarted();
     }
-    opened.request().cancelIfStarted();
-    opened.reply().send(Either.left(failure));
+    opened
+        .answer()
+        .peek(answer -> answer.fail(failure))
+        .onEmpty(() -> opened.reply().send(Either.left(failure)));
   }
 
   @Override
@@ -154,7 +165,7 @@
   @Override
   public void endRepeatable(Failure failure) {
     streams
-        .filterValues(opened -> opened.repeatable() && opened.answer().isEmpty())
+        .filterValues(opened -> opened.repeatable() && !opened.isHandedOn())
         .forEach(
             (streamId, opened) -> {
               cancel(streamId);
