Keep a task running after a message that ends in an error

What callers would see: every request that needs the task waits until its caller leaves.

Cause: a mailbox caught RuntimeException alone. An Error, such as a stack overflow on the node's stacks of 256 KiB or a full heap of 96 MB, left the counter of waiting messages up; the sender that raises it from zero schedules the next run, so nothing ever ran the task again, and the log did not say so.

Evidence: MailboxTest.aMessageThatOverflowsTheStackDoesNotEndTheTask failed before with "StackOverflowError: on purpose" out of Mailbox.run; the message after it was not taken.

Why it works: the error is logged as event=task-failed like any other failure of a message, and the counter goes down.

--- a/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
@@ -84,10 +84,11 @@
     schedule(this::run);
   }
 
+  /** An error that left here would leave the counter up, and nothing would schedule a run again. */
   private void receive(M message) {
     try {
       behaviour.receive(message);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       logger.atSevere().withCause(e).log("event=task-failed task=%s message=%s", name, message);
     }
   }
--- a/kernel/src/test/java/org/clementinepost/kernel/MailboxTest.java
+++ b/kernel/src/test/java/org/clementinepost/kernel/MailboxTest.java
@@ -79,6 +79,22 @@
     assertThat(received).containsExactly("good");
   }
 
+  @Test
+  void aMessageThatOverflowsTheStackDoesNotEndTheTask() {
+    Mailbox<String> mailbox = new Mailbox<>("test", 10, scheduler);
+    mailbox.start(
+        message -> {
+          if (message.equals("deep")) {
+            throw new StackOverflowError("on purpose");
+          }
+          received.add(message);
+        });
+    mailbox.send("deep");
+    mailbox.send("good");
+    scheduler.advanceTime();
+    assertThat(received).containsExactly("good");
+  }
+
   @Test
   void manySendersRunOneMessageAtATimeAndLoseNone() throws InterruptedException {
     Scheduler threads = Schedulers.newParallel("mailbox-test", SENDERS);
