Take the time of a look-up from the request's own

What callers saw: a request whose service had first to be looked up was held up to 2.5 s beyond its deadline, and its backend server was told of more time than was left, when it came without a key.

Cause: the first attempt went out with the time that the request had had on arrival; only what the quota had taken was subtracted, and nothing in front of a request without a customer. The look-up itself had a limit of its own, 2.5 s, whatever was left of the request.

Evidence: RequestDeadlineTest (virtual time). Before, theTimeThatALookUpTookIsTakenFromTheRequests found timeoutMillis=3000 on a request of which 1,000 ms were left, and aLookUpLastsNoLongerThanTheRequest found no answer 100 ms after the deadline.

Excluded: the later attempts and an answer that does not come, which have kept the deadline all along (aHostThatDoesNotAnswerIsGivenUpAtTheDeadline passed before).

Why it works: the time left is worked out when the first attempt has been placed, and bounds the look-up.

--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -55,7 +55,7 @@
   private static final long HOST_GRACE_MILLIS = 20;
 
   private static final int FIRST_ERROR_STATUS = 400;
-  private static final Duration LOOK_UP_LIMIT = Duration.ofMillis(2_500);
+  private static final long LOOK_UP_LIMIT_MILLIS = 2_500;
 
   private final NodeId self;
   private final MonotonicClock clock;
@@ -108,14 +108,7 @@
     }
     Mono<Either<Failure, RequestHead>> granted =
         Ask.of(quota, reply -> new QuotaServiceMessage.Take(head, reply));
-    return Results.then(
-        granted,
-        allowed ->
-            attempt(
-                allowed.nextAttempt(allowed.attempt(), remainingMillis(deadlineNanos)),
-                body,
-                HashSet.empty(),
-                deadlineNanos));
+    return Results.then(granted, allowed -> attempt(allowed, body, HashSet.empty(), deadlineNanos));
   }
 
   private long deadlineNanos(RequestHead head) {
@@ -129,7 +122,15 @@
   private Mono<Either<Failure, Answer>> attempt(
       RequestHead head, UploadBody body, Set<BackendServerId> tried, long deadlineNanos) {
     return Results.then(
-        placeFirst(head), placement -> attempt(head, body, tried, deadlineNanos, placement));
+        placeFirst(head, deadlineNanos),
+        placement -> {
+          long remainingMillis = remainingMillis(deadlineNanos);
+          if (remainingMillis <= 0) {
+            return Mono.just(Either.left(Failure.of(ResultCode.DEADLINE_PASSED)));
+          }
+          RequestHead first = head.nextAttempt(head.attempt(), remainingMillis);
+          return attempt(first, body, tried, deadlineNanos, placement);
+        });
   }
 
   private Mono<Either<Failure, Placement>> place(RequestHead head, Set<BackendServerId> tried) {
@@ -148,13 +149,13 @@
   }
 
   /** Places a request; the first ones of a service wait until the directory has looked it up. */
-  private Mono<Either<Failure, Placement>> placeFirst(RequestHead head) {
+  private Mono<Either<Failure, Placement>> placeFirst(RequestHead head, long deadlineNanos) {
     directory.send(new DirectoryMessage.Wanted(head.service(), Reply.ignored()));
     return place(head, HashSet.empty())
         .flatMap(
             placed ->
                 isUnknownService(placed)
-                    ? lookUp(head.service())
+                    ? lookUp(head.service(), remainingMillis(deadlineNanos))
                         .flatMap(known -> known ? place(head, HashSet.empty()) : Mono.just(placed))
                     : Mono.just(placed));
   }
@@ -163,14 +164,17 @@
     return placed.isLeft() && placed.getLeft().code() == ResultCode.NO_BACKEND_SERVER;
   }
 
-  private Mono<Boolean> lookUp(ServiceId service) {
+  private Mono<Boolean> lookUp(ServiceId service, long remainingMillis) {
     return Mono.<Boolean>create(
             sink -> {
               if (!directory.send(new DirectoryMessage.Wanted(service, sink::success)).accepted()) {
                 sink.success(false);
               }
             })
-        .timeout(LOOK_UP_LIMIT, Mono.just(false), scheduler);
+        .timeout(
+            Duration.ofMillis(Math.min(LOOK_UP_LIMIT_MILLIS, remainingMillis)),
+            Mono.just(false),
+            scheduler);
   }
 
   private Mono<Either<Failure, Answer>> answered(
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/edge/RequestDeadlineTest.java
@@ -0,0 +1,194 @@
+package org.clementinepost.node.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Chunk;
+import org.clementinepost.api.CustomerId;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.RequestId;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.Kernel;
+import org.clementinepost.kernel.MonotonicClock;
+import org.clementinepost.kernel.Reply;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.node.access.AccessMessage;
+import org.clementinepost.node.access.AccessService;
+import org.clementinepost.node.directory.DirectoryMessage;
+import org.clementinepost.node.directory.DirectoryService;
+import org.clementinepost.node.exchange.Answer;
+import org.clementinepost.node.exchange.ExchangeMessage;
+import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.node.host.HostMessage;
+import org.clementinepost.node.host.HostService;
+import org.clementinepost.node.peer.PeerService;
+import org.clementinepost.node.peer.PeerServiceMessage;
+import org.clementinepost.node.quota.QuotaService;
+import org.clementinepost.node.quota.QuotaServiceMessage;
+import org.clementinepost.node.routing.RoutingMessage;
+import org.clementinepost.node.routing.RoutingService;
+import org.clementinepost.policy.access.ArrivedRequest;
+import org.clementinepost.policy.routing.Placement;
+import org.junit.jupiter.api.Test;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** A request on its way through a node whose services answer late. */
+final class RequestDeadlineTest {
+  private static final NodeId SELF = new NodeId("self");
+  private static final ServiceId SERVICE = new ServiceId("s");
+  private static final long TIMEOUT_MILLIS = 3_000;
+  private static final long SLACK_MILLIS = 100;
+  private static final Endpoint FAR =
+      new Endpoint(
+          new BackendServerId("b"), SERVICE, new NodeId("far"), new FailureDomainId("a"), 5);
+
+  private final VirtualTimeScheduler scheduler = VirtualTimeScheduler.create();
+  private final List<Either<Failure, Answer>> answers = new ArrayList<>();
+  private final List<Reply<Boolean>> lookUps = new ArrayList<>();
+  private final List<Reply<Either<Failure, RequestHead>>> tokens = new ArrayList<>();
+  private final List<PeerServiceMessage.Exchange> sent = new ArrayList<>();
+  private boolean serviceKnown = true;
+  private Option<CustomerId> customer = Option.none();
+
+  private void start() {
+    Kernel kernel =
+        Kernel.builder()
+            .scheduler(scheduler)
+            .clock(MonotonicClock.of(scheduler))
+            .service(of(AccessService.NAME, this::access))
+            .service(of(QuotaService.NAME, this::quota))
+            .service(of(RoutingService.NAME, this::place))
+            .service(of(DirectoryService.NAME, this::lookUp))
+            .service(of(HostService.NAME, (HostMessage message) -> {}))
+            .service(of(ExchangeService.NAME, (ExchangeMessage message) -> {}))
+            .service(of(PeerService.NAME, this::send))
+            .start();
+    new RequestPipeline(SELF, MonotonicClock.of(scheduler), scheduler, kernel)
+        .run(request(), UploadBody.repeatable(Chunk.owning(new byte[0])))
+        .subscribe(answers::add);
+    pass(0);
+  }
+
+  private static <M> ServiceDefinition<M> of(ServiceName<M> name, Behaviour<M> behaviour) {
+    return new ServiceDefinition<>(name, 100, context -> behaviour);
+  }
+
+  private static ArrivedRequest request() {
+    return new ArrivedRequest(
+        new RequestId("r"),
+        Option.none(),
+        "GET",
+        "/",
+        Vector.empty(),
+        Option.none(),
+        Option.some(TIMEOUT_MILLIS),
+        RequestHead.NO_BODY);
+  }
+
+  private void access(AccessMessage message) {
+    if (message instanceof AccessMessage.Arrived arrived) {
+      arrived.reply().send(Either.right(head(arrived.request())));
+    }
+  }
+
+  private RequestHead head(ArrivedRequest request) {
+    return new RequestHead(
+        request.requestId(),
+        1,
+        customer,
+        SERVICE,
+        request.method(),
+        request.uri(),
+        request.headers(),
+        true,
+        Option.none(),
+        TIMEOUT_MILLIS,
+        request.bodyBytes());
+  }
+
+  private void quota(QuotaServiceMessage message) {
+    if (message instanceof QuotaServiceMessage.Take take) {
+      tokens.add(take.reply());
+    }
+  }
+
+  private void place(RoutingMessage message) {
+    if (message instanceof RoutingMessage.Place place) {
+      place
+          .reply()
+          .send(
+              serviceKnown
+                  ? Either.right(new Placement(FAR))
+                  : Either.left(Failure.of(ResultCode.NO_BACKEND_SERVER)));
+    }
+  }
+
+  private void lookUp(DirectoryMessage message) {
+    if (message instanceof DirectoryMessage.Wanted wanted) {
+      lookUps.add(wanted.known());
+    }
+  }
+
+  private void send(PeerServiceMessage message) {
+    if (message instanceof PeerServiceMessage.Exchange exchange) {
+      sent.add(exchange);
+    }
+  }
+
+  private void pass(long millis) {
+    scheduler.advanceTimeBy(Duration.ofMillis(millis));
+  }
+
+  private Vector<ResultCode> codes() {
+    return Vector.ofAll(answers).map(answer -> answer.getLeft().code());
+  }
+
+  @Test
+  void aHostThatDoesNotAnswerIsGivenUpAtTheDeadline() {
+    start();
+    pass(TIMEOUT_MILLIS + SLACK_MILLIS);
+
+    assertThat(codes()).containsExactly(ResultCode.BACKEND_TIMED_OUT);
+  }
+
+  @Test
+  void theTimeThatALookUpTookIsTakenFromTheRequests() {
+    serviceKnown = false;
+    start();
+    pass(2_000);
+    serviceKnown = true;
+    lookUps.forEach(known -> known.send(true));
+    pass(0);
+
+    assertThat(sent).singleElement().matches(open -> open.head().timeoutMillis() == 1_000);
+
+    pass(1_000 + SLACK_MILLIS);
+
+    assertThat(codes()).containsExactly(ResultCode.BACKEND_TIMED_OUT);
+  }
+
+  @Test
+  void aLookUpLastsNoLongerThanTheRequest() {
+    serviceKnown = false;
+    customer = Option.some(new CustomerId("c"));
+    start();
+    pass(2_000);
+    tokens.forEach(token -> token.send(Either.right(head(request()))));
+    pass(1_000 + SLACK_MILLIS);
+
+    assertThat(codes()).containsExactly(ResultCode.NO_BACKEND_SERVER);
+  }
+}
