Log a connection to another node that ends with requests on it

A connection that the other side closed or reset left no line, though its requests then end with 7003: only one that fell silent or broke the protocol was logged. event=peer-lost tells the peer and the number of streams, whatever the reason, so that a 502 or a cut answer can be told from one at a planned stop.

--- a/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
@@ -158,8 +158,8 @@
   }
 
   @Override
-  public boolean isIdle() {
-    return streams.isEmpty();
+  public int size() {
+    return streams.size();
   }
 
   @Override
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -258,6 +258,9 @@
     transport.close();
     context.registry().find(TimerService.NAME).send(new TimerService.Cancel(timerName));
     answerProbes(false);
+    if (!streams.isIdle()) {
+      logger.atWarning().log("event=peer-lost peer=%s streams=%d", peer, streams.size());
+    }
     streams.endAll(Failure.of(ResultCode.PEER_LOST, peer.map(NodeId::value).getOrElse("")));
     owner.send(new PeerServiceMessage.Ended(context.self()));
   }
--- a/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
@@ -176,8 +176,8 @@
   }
 
   @Override
-  public boolean isIdle() {
-    return streams.isEmpty();
+  public int size() {
+    return streams.size();
   }
 
   /** It is the side that opened a stream that can repeat it. */
--- a/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
+++ b/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
@@ -11,8 +11,13 @@
   /** Takes what the streams' own bodies and exchanges have to tell. */
   void local(ConnectionMessage message);
 
+  /** The streams that are open. */
+  int size();
+
   /** Whether no stream is open. */
-  boolean isIdle();
+  default boolean isIdle() {
+    return size() == 0;
+  }
 
   /** Ends the streams without an answer so far that can be repeated on another connection. */
   void endRepeatable(Failure failure);
