--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -132,7 +132,7 @@
       ping();
       sentAnswers = sentAnswers.asked(pings);
     }
-    int now = sentAnswers.arrived() ? streams.open() : Math.max(1, streams.open());
+    int now = sentAnswers.arrived() ? streams.size() : Math.max(1, streams.size());
     if (now != toldInHand) {
       toldInHand = now;
       inHand.accept(now);
@@ -300,6 +300,9 @@
     transport.close();
     context.registry().find(TimerService.NAME).send(new TimerService.Cancel(timerName));
     answerProbes(false);
+    if (!streams.isIdle()) {
+      logger.atWarning().log("event=peer-lost peer=%s streams=%d", peer, streams.size());
+    }
     streams.endAll(Failure.of(ResultCode.PEER_LOST, peer.map(NodeId::value).getOrElse("")));
     owner.send(new PeerServiceMessage.Ended(context.self()));
   }
--- a/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ServedStreams.java
@@ -176,7 +176,7 @@
   }
 
   @Override
-  public int open() {
+  public int size() {
     return streams.size();
   }
 
--- a/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
+++ b/node/src/main/java/org/clementinepost/node/peer/StreamRole.java
@@ -12,11 +12,11 @@
   void local(ConnectionMessage message);
 
   /** The streams that are open. */
-  int open();
+  int size();
 
   /** Whether no stream is open. */
   default boolean isIdle() {
-    return open() == 0;
+    return size() == 0;
   }
 
   /** Ends the streams without an answer so far that can be repeated on another connection. */
