Give the seat of the quota back again when that has failed

A keeper that stopped while the store refused its write, or did not answer, never wrote again: its row went on naming it, and nobody could take the seat for 8.5 s.

It now counts as handed over until the store has said so; a failure is looked up at the next tick, and the row is written again if it still names this node. Questions of others wait only in that phase, no longer during any later read.

The test was written with the fix and not run against the code before it, in which the phase that it asks for does not exist.

--- a/policy/src/main/java/org/clementinepost/policy/quota/SeatPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/SeatPolicy.java
@@ -64,6 +64,9 @@
 
   private Step<SeatState, SeatEffect> read(SeatState state, SeatEvent.Read read) {
     SeatState next = state.read(read.seat(), read.version(), read.nowNanos());
+    if (next.isHandingOver()) {
+      return next.seat().contains(own) ? giveBack(next, next.version()) : Step.to(next.givenBack());
+    }
     if (!next.stays() || !mayTake(next, read.nowNanos())) {
       return Step.to(next);
     }
@@ -97,6 +100,9 @@
   }
 
   private Step<SeatState, SeatEffect> ticked(SeatState state, long cautiousNanos) {
+    if (state.isHandingOver() && !state.busy()) {
+      return Step.to(state.asked(state.readNanos()), new SeatEffect.Read());
+    }
     if (state.leaseNanos().isEmpty()) {
       return Step.to(state);
     }
@@ -118,9 +124,7 @@
   /** A lease that was taken or renewed while the node began to stop is given back as well. */
   private static Step<SeatState, SeatEffect> writtenWhileLeaving(
       SeatState state, SeatEvent.Written written) {
-    return state.phase() == SeatState.Phase.GIVEN_BACK
-        ? Step.to(state.settled())
-        : giveBack(state, written.version());
+    return state.isHandingOver() ? Step.to(state.givenBack()) : giveBack(state, written.version());
   }
 
   private static Step<SeatState, SeatEffect> leave(SeatState state) {
--- a/policy/src/main/java/org/clementinepost/policy/quota/SeatState.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/SeatState.java
@@ -25,6 +25,7 @@
   public enum Phase {
     STAYING,
     LEAVING,
+    HANDING_OVER,
     GIVEN_BACK
   }
 
@@ -88,12 +89,18 @@
         readNanos,
         true,
         Option.none(),
-        Phase.GIVEN_BACK);
+        Phase.HANDING_OVER);
+  }
+
+  /** The state of a stopping node whose seat is no longer its own. */
+  SeatState givenBack() {
+    return new SeatState(
+        seat, version, unchangedSinceNanos, readNanos, false, Option.none(), Phase.GIVEN_BACK);
   }
 
   /** Whether the seat is on its way back, so that nobody can take it yet. */
   public boolean isHandingOver() {
-    return phase == Phase.GIVEN_BACK && busy;
+    return phase == Phase.HANDING_OVER;
   }
 
   boolean stays() {
--- a/policy/src/test/java/org/clementinepost/policy/quota/SeatPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/quota/SeatPolicyTest.java
@@ -133,6 +133,24 @@
     assertThat(givenBack.isHandingOver()).isFalse();
   }
 
+  @Test
+  void aSeatWhoseGivingBackHasFailedIsGivenBackAgain() {
+    SeatState leaving = first.decide(seated(), new SeatEvent.Leave()).state();
+    SeatState failed = first.decide(leaving, new SeatEvent.Failed()).state();
+    assertThat(failed.isHandingOver()).isTrue();
+    Step<SeatState, SeatEffect> looked = first.decide(failed, new SeatEvent.Tick(at(1_000)));
+    assertThat(looked.effects()).containsExactly(new SeatEffect.Read());
+    assertThat(
+            first
+                .decide(looked.state(), new SeatEvent.Read(Option.some(FIRST), 7, at(1_005)))
+                .effects())
+        .containsExactly(new SeatEffect.Write(Seat.vacant(), 7));
+    SeatState taken =
+        first.decide(looked.state(), new SeatEvent.Read(Option.some(SECOND), 9, at(1_005))).state();
+    assertThat(taken.isHandingOver()).isFalse();
+    assertThat(taken.seat()).contains(SECOND);
+  }
+
   @Test
   void aLeaseRenewedWhileTheKeeperBeginsToStopIsGivenBackToo() {
     SeatState renewing = first.decide(seated(), new SeatEvent.Tick(at(3_000))).state();
