Bound what a backend server may send without end

Callers saw nothing until the deadline, and a node of 96 MB could run out of memory: an answer without a length was read for as long as it came, a refusal was believed only once its body had ended, and an answer that is passed on while it comes had no deadline at all.

Cause: BackendClient gathered every answer that states no length, whatever came; a list of one chunk a piece cost far more memory than its bytes. Nothing looked at what comes on a connection beyond the answer that is due, and an interim answer other than 100 was taken for the final one.

Excluded: the library bounds status lines, chunk extensions, trailers and blank lines, and closes the connection then (the tests of these passed before). It does not for header fields: the decoder fails, but the connection stayed open and the request waited for its deadline.

--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -12,6 +12,7 @@
 import java.net.ConnectException;
 import java.net.UnknownHostException;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
@@ -24,6 +25,7 @@
 import org.clementinepost.policy.host.Admission;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
@@ -41,15 +43,27 @@
   /** Longer answers are passed on while they come. */
   private static final int MAX_GATHERED_BYTES = 1 << 20;
 
+  /** An answer that says no length and grows beyond this is taken for one without end. */
+  static final long MAX_UNSIZED_BYTES = 64L << 20;
+
+  /** What is read of the body of a refusal, so that its connection can be used again. */
+  private static final int MAX_REFUSAL_BYTES = 16 << 10;
+
+  private static final Duration REFUSAL_PATIENCE = Duration.ofMillis(50);
+
+  private static final long UNSIZED = -1;
+
   private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(4);
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final HttpDialect dialect;
+  private final Scheduler scheduler;
   private final ConnectionProvider connections;
   private final HttpClient client;
 
-  BackendClient(int connectionsPerServer, HttpDialect dialect) {
+  BackendClient(int connectionsPerServer, HttpDialect dialect, Scheduler scheduler) {
     this.dialect = dialect;
+    this.scheduler = scheduler;
     connections =
         ConnectionProvider.builder("backend-servers")
             .maxConnections(connectionsPerServer)
@@ -60,14 +74,18 @@
         HttpClient.create(connections)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.TCP_NODELAY, true)
+            .doOnConnected(AnswerGuard::attach)
             .disableRetry(true)
             .followRedirect(false)
             .compress(false);
   }
 
   Mono<Either<Failure, Answer>> send(Admission admission, RequestHead head, Flux<Chunk> body) {
+    long deadlineMillis = scheduler.now(TimeUnit.MILLISECONDS) + head.timeoutMillis();
     return request(admission, head, body)
-        .responseConnection((response, connection) -> answer(admission, head, response, connection))
+        .responseConnection(
+            (response, connection) ->
+                answer(admission, head, deadlineMillis, response, connection))
         .singleOrEmpty()
         .onErrorResume(error -> Mono.just(Either.left(failure(admission, error))));
   }
@@ -104,6 +122,7 @@
   private Mono<Either<Failure, Answer>> answer(
       Admission admission,
       RequestHead request,
+      long deadlineMillis,
       HttpClientResponse response,
       Connection connection) {
     HttpHeaders headers = response.responseHeaders();
@@ -125,29 +144,62 @@
             .map(Chunk::owning)
             .doOnCancel(connection::dispose);
     if (shed) {
-      Failure failure = Failure.of(ResultCode.BACKEND_SERVER_SHED, admission.server().value());
-      return body.onErrorComplete().then(Mono.just(Either.left(failure)));
+      return shed(admission, body);
     }
     ResponseHead head =
         new ResponseHead(
             response.status().code(), endToEnd(response.responseHeaders()), admission.server(), 0);
-    if (contentLength(headers) > MAX_GATHERED_BYTES) {
-      return Mono.just(Either.right(new Answer(head, body)));
+    long announcedBytes = announcedBytes(headers);
+    if (announcedBytes > MAX_GATHERED_BYTES) {
+      return Mono.just(Either.right(new Answer(head, untilDeadline(body, deadlineMillis, connection))));
     }
-    return gathered(admission, head, body);
+    return Gathering.of(body, MAX_GATHERED_BYTES, MAX_UNSIZED_BYTES)
+        .map(
+            read ->
+                read.whole()
+                    ? new Answer(head, read.body())
+                    : new Answer(head, untilDeadline(read.body(), deadlineMillis, connection)))
+        .map(Either::<Failure, Answer>right)
+        .onErrorResume(error -> Mono.just(Either.left(failure(admission, error))));
   }
 
-  /** An answer that is whole before its head is passed on can still be replaced by another one. */
-  private static Mono<Either<Failure, Answer>> gathered(
-      Admission admission, ResponseHead head, Flux<Chunk> body) {
-    return body.collectList()
-        .map(chunks -> Either.<Failure, Answer>right(new Answer(head, Flux.fromIterable(chunks))))
-        .onErrorResume(error -> Mono.just(Either.left(failure(admission, error))));
+  /** The head alone says that the request has not run; its body may come late or without end. */
+  private Mono<Either<Failure, Answer>> shed(Admission admission, Flux<Chunk> body) {
+    Failure failure = Failure.of(ResultCode.BACKEND_SERVER_SHED, admission.server().value());
+    return Gathering.of(body, MAX_REFUSAL_BYTES, MAX_REFUSAL_BYTES)
+        .doOnNext(read -> discardUnlessWhole(read))
+        .timeout(REFUSAL_PATIENCE, scheduler)
+        .onErrorComplete()
+        .then(Mono.just(Either.left(failure)));
+  }
+
+  private static void discardUnlessWhole(Gathering.Gathered read) {
+    if (!read.whole()) {
+      read.body().subscribe().dispose();
+    }
+  }
+
+  /** Ends a body that is passed on while it comes, as the caller no longer waits for it. */
+  private Flux<Chunk> untilDeadline(
+      Flux<Chunk> body, long deadlineMillis, Connection connection) {
+    return Flux.defer(
+        () -> {
+          long leftMillis = Math.max(0, deadlineMillis - scheduler.now(TimeUnit.MILLISECONDS));
+          Mono<Void> deadline =
+              Mono.delay(Duration.ofMillis(leftMillis), scheduler)
+                  .then(
+                      Mono.error(
+                          () ->
+                              new BodyFailedException(
+                                  Failure.of(
+                                      ResultCode.BACKEND_TIMED_OUT, "the body has not ended"))));
+          return body.takeUntilOther(deadline).doOnError(error -> connection.dispose());
+        });
   }
 
-  private static long contentLength(HttpHeaders headers) {
-    return Try.of(() -> Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH, "0")))
-        .getOrElse(0L);
+  private static long announcedBytes(HttpHeaders headers) {
+    return Try.of(() -> Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH)))
+        .getOrElse(UNSIZED);
   }
 
   /** A backend server that names the request in its answers may send one twice, or late. */
--- a/node/src/main/java/org/clementinepost/node/exchange/ExchangeEnd.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeEnd.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResponseHead;
 import org.clementinepost.api.ResultCode;
@@ -10,6 +11,7 @@
 import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.node.host.HostMessage;
 import org.clementinepost.policy.host.Admission;
+import reactor.core.publisher.Operators;
 
 /** Tells the host service once how an admitted request has ended. */
 final class ExchangeEnd {
@@ -28,19 +30,32 @@
 
   Answer watch(Answer answer) {
     long serverMicros = elapsedMicros();
+    int status = answer.head().status();
+    AtomicLong owedChunks = new AtomicLong();
     return new Answer(
-        new ResponseHead(
-            answer.head().status(), answer.head().headers(), answer.head().server(), serverMicros),
+        new ResponseHead(status, answer.head().headers(), answer.head().server(), serverMicros),
         answer
             .body()
-            .doOnComplete(() -> tell(Option.none(), answer.head().status(), serverMicros))
+            .doOnNext(chunk -> owedChunks.decrementAndGet())
+            .doOnRequest(chunks -> owedChunks.accumulateAndGet(chunks, Operators::addCap))
+            .doOnComplete(() -> tell(Option.none(), status, serverMicros))
             .doOnError(
-                error ->
-                    tell(
-                        Option.some(Failure.of(ResultCode.BACKEND_ANSWER_LOST)),
-                        answer.head().status(),
-                        serverMicros))
-            .doOnCancel(() -> tell(Option.none(), answer.head().status(), serverMicros)));
+                error -> tell(evidence(failure(error), owedChunks.get()), status, serverMicros))
+            .doOnCancel(() -> tell(Option.none(), status, serverMicros)));
+  }
+
+  /** Why the body of an answer is not whole. */
+  static Failure failure(Throwable error) {
+    return error instanceof BodyFailedException failed
+        ? failed.failure()
+        : Failure.of(ResultCode.BACKEND_ANSWER_LOST, String.valueOf(error.getMessage()));
+  }
+
+  /** A body that its reader was too slow for says nothing of the backend server. */
+  private static Option<Failure> evidence(Failure failure, long owedChunks) {
+    return failure.code() == ResultCode.BACKEND_TIMED_OUT && owedChunks <= 0
+        ? Option.none()
+        : Option.some(failure);
   }
 
   void failed(Failure failure) {
--- a/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
@@ -44,7 +44,7 @@
   private ExchangeService(
       TaskContext<ExchangeMessage> context, int connectionsPerServer, HttpDialect dialect) {
     this.context = context;
-    this.client = new BackendClient(connectionsPerServer, dialect);
+    this.client = new BackendClient(connectionsPerServer, dialect, context.scheduler());
     this.host = context.registry().find(HostService.NAME);
   }
 
@@ -115,7 +115,7 @@
     }
     return client
         .send(admission, head, send.body())
-        .map(answer -> answer.map(whole -> end.watch(whole)))
+        .map(answer -> answer.map(whole -> watched(head, admission, end.watch(whole))))
         .timeout(Duration.ofMillis(head.timeoutMillis()), context.scheduler())
         .onErrorResume(
             TimeoutException.class,
@@ -125,6 +125,17 @@
         .doOnCancel(() -> end.failed(Failure.of(ResultCode.BACKEND_ANSWER_LOST, "cancelled")));
   }
 
+  /** An answer may fail after its head has been passed on. */
+  private static Answer watched(RequestHead head, Admission admission, Answer answer) {
+    return new Answer(
+        answer.head(),
+        answer
+            .body()
+            .doOnError(
+                error ->
+                    logUnlessGood(head, admission, Either.left(ExchangeEnd.failure(error)))));
+  }
+
   private static void logUnlessGood(
       RequestHead head, Admission admission, Either<Failure, Answer> answer) {
     int status = answer.fold(failure -> 0, whole -> whole.head().status());
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/exchange/EndlessAnswerTest.java
@@ -0,0 +1,314 @@
+package org.clementinepost.node.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Chunk;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.RequestId;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.http.HttpDialect;
+import org.clementinepost.kernel.Kernel;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.node.host.HostMessage;
+import org.clementinepost.node.host.HostService;
+import org.clementinepost.policy.host.Admission;
+import org.clementinepost.testing.backend.RawServerStandIn;
+import org.clementinepost.testing.backend.RawServerStandIn.Reply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Schedulers;
+
+/** A backend server that sends without end, and a host that admits every request to it. */
+final class EndlessAnswerTest {
+  private static final Duration PATIENCE = Duration.ofSeconds(60);
+  private static final long FAR_DEADLINE_MILLIS = 50_000;
+  private static final long NEAR_DEADLINE_MILLIS = 1_500;
+
+  /** What sockets of the loopback interface and the node's reading ahead may hold besides. */
+  private static final long SOCKET_BUFFER_BYTES = 12 << 20;
+
+  private static final long GATHERED_BYTES = 1 << 20;
+  private static final BackendServerId SERVER = new BackendServerId("b");
+  private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final String NO_LENGTH = "HTTP/1.1 200 OK\r\n\r\n";
+  private static final String GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+  private static final String SHED =
+      "HTTP/1.1 503 Service Unavailable\r\nclementinepost-outcome: not-run\r\n";
+
+  private final Sinks.Many<HostMessage.Ended> ends = Sinks.many().replay().all();
+  private RawServerStandIn server;
+  private Kernel kernel;
+  private int requests;
+
+  private void serve(Reply reply) {
+    serve(Vector.of(reply));
+  }
+
+  private void serve(Vector<Reply> replies) {
+    server =
+        RawServerStandIn.start(
+            request -> replies.get(Math.min(request, replies.size()) - 1));
+    kernel =
+        Kernel.builder()
+            .scheduler(Schedulers.parallel())
+            .service(new ServiceDefinition<>(HostService.NAME, 100, context -> this::admit))
+            .service(ExchangeService.definition(10, HttpDialect.OWN))
+            .start();
+  }
+
+  private void admit(HostMessage message) {
+    if (message instanceof HostMessage.Admit admit) {
+      admit.reply().send(Either.right(new Admission(1, SERVER, server.address())));
+    }
+    if (message instanceof HostMessage.Ended ended) {
+      ends.tryEmitNext(ended);
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    kernel.dispose();
+    server.close();
+  }
+
+  private Either<Failure, Answer> ask(long timeoutMillis) {
+    requests++;
+    RequestHead head =
+        new RequestHead(
+            new RequestId("r" + requests),
+            1,
+            Option.none(),
+            new ServiceId("s"),
+            "GET",
+            "/",
+            Vector.empty(),
+            true,
+            Option.none(),
+            timeoutMillis,
+            RequestHead.NO_BODY);
+    return Exchanges.ask(
+            kernel.find(ExchangeService.NAME),
+            (cancelled, reply) ->
+                new ExchangeMessage.Send(SERVER, head, Flux.empty(), cancelled, reply))
+        .block(PATIENCE);
+  }
+
+  private static Failure readToItsFailure(Answer answer) {
+    return answer
+        .body()
+        .then()
+        .materialize()
+        .map(signal -> ((BodyFailedException) signal.getThrowable()).failure())
+        .block(PATIENCE);
+  }
+
+  private static String text(Either<Failure, Answer> answer) {
+    StringBuilder text = new StringBuilder();
+    for (Chunk chunk : answer.get().body().toIterable()) {
+      text.append(new String(chunk.bytes(), java.nio.charset.StandardCharsets.ISO_8859_1));
+    }
+    return text.toString();
+  }
+
+  private Option<ResultCode> firstEnd() {
+    return end(0);
+  }
+
+  /** How the host was told that a request ended, counted from zero. */
+  private Option<ResultCode> end(int index) {
+    return ends.asFlux().elementAt(index).block(PATIENCE).failure().map(Failure::code);
+  }
+
+  private void assertClosedWithin(long bytes) throws InterruptedException {
+    assertThat(server.awaitClosed(PATIENCE.toMillis())).isTrue();
+    assertThat(server.sentBytes()).isLessThan(bytes + SOCKET_BUFFER_BYTES);
+  }
+
+  @Test
+  void aBodyWithoutLengthAndEndIsCutAtItsBoundAndHeldAgainstTheServer() throws Exception {
+    serve(Reply.endless(NO_LENGTH, "x"));
+
+    Failure failure = readToItsFailure(ask(FAR_DEADLINE_MILLIS).get());
+
+    assertThat(failure.code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(firstEnd()).contains(ResultCode.BACKEND_ANSWER_LOST);
+    assertClosedWithin(BackendClient.MAX_UNSIZED_BYTES);
+  }
+
+  @Test
+  void aChunkedBodyWithoutEndIsCutAtItsBoundAndHeldAgainstTheServer() throws Exception {
+    serve(Reply.endless(CHUNKED, "400\r\n" + "x".repeat(1_024) + "\r\n"));
+
+    Failure failure = readToItsFailure(ask(FAR_DEADLINE_MILLIS).get());
+
+    assertThat(failure.code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(firstEnd()).contains(ResultCode.BACKEND_ANSWER_LOST);
+    assertClosedWithin(2 * BackendClient.MAX_UNSIZED_BYTES);
+  }
+
+  @Test
+  void anEndlessBodyThatNobodyReadsIsTakenNoFurther() throws Exception {
+    serve(Reply.endless(NO_LENGTH, "x"));
+
+    Answer answer = ask(FAR_DEADLINE_MILLIS).get();
+    answer.discard();
+
+    assertClosedWithin(GATHERED_BYTES);
+  }
+
+  @Test
+  void aLongBodyWithoutLengthThatEndsReachesItsReaderWhole() {
+    int pieces = 300_000;
+    serve(Reply.once(CHUNKED + "8\r\nabcdefgh\r\n".repeat(pieces) + "0\r\n\r\n"));
+
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("abcdefgh".repeat(pieces));
+    assertThat(firstEnd()).isEmpty();
+  }
+
+  @Test
+  void aBodyThatTricklesIsGivenUpAtTheDeadline() throws Exception {
+    serve(new Reply(NO_LENGTH, "x", 20));
+
+    assertThat(ask(NEAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_TIMED_OUT);
+    assertThat(firstEnd()).contains(ResultCode.BACKEND_TIMED_OUT);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void aLongBodyThatTricklesIsGivenUpAtTheDeadline() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nContent-Length: " + 4 * GATHERED_BYTES + "\r\n\r\n";
+    serve(Vector.of(Reply.once(GOOD), new Reply(head, "x", 20)));
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
+
+    Failure failure = readToItsFailure(ask(NEAR_DEADLINE_MILLIS).get());
+
+    assertThat(failure.code()).isEqualTo(ResultCode.BACKEND_TIMED_OUT);
+    assertThat(end(1)).contains(ResultCode.BACKEND_TIMED_OUT);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void aRefusalWithABodyWithoutEndIsBelievedFromItsHead() throws Exception {
+    serve(Reply.endless(SHED + "\r\n", "x"));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_SERVER_SHED);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void aRefusalWhoseBodyTricklesIsBelievedFromItsHead() throws Exception {
+    serve(new Reply(SHED + "\r\n", "x", 20));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_SERVER_SHED);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void aRefusalWithAShortBodyKeepsItsConnection() {
+    serve(Vector.of(Reply.once(SHED + "Content-Length: 4\r\n\r\nbusy"), Reply.once(GOOD)));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_SERVER_SHED);
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
+    assertThat(server.connections()).isEqualTo(1);
+  }
+
+  @Test
+  void aStatusLineWithoutEndIsNoAnswer() throws Exception {
+    serve(Reply.endless("HTTP/1.1 200 ", "x"));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(firstEnd()).contains(ResultCode.BACKEND_ANSWER_LOST);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void headerFieldsWithoutEndAreNoAnswer() throws Exception {
+    serve(Reply.endless("HTTP/1.1 200 OK\r\n", "X-Field: x\r\n"));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(firstEnd()).contains(ResultCode.BACKEND_ANSWER_LOST);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void blankLinesWithoutEndAreNoAnswer() throws Exception {
+    serve(Reply.endless("", "\r\n"));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void interimAnswersWithoutEndAreNoAnswer() throws Exception {
+    serve(Reply.endless("", "HTTP/1.1 102 Processing\r\n\r\n"));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(firstEnd()).contains(ResultCode.BACKEND_ANSWER_LOST);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void aChunkExtensionWithoutEndIsNoAnswer() throws Exception {
+    serve(Reply.endless(CHUNKED + "8;a=", "x"));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void trailersWithoutEndAreNoAnswer() throws Exception {
+    serve(Reply.endless(CHUNKED + "4\r\ngood\r\n0\r\n", "X-Field: x\r\n"));
+
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
+        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertClosedWithin(0);
+  }
+
+  @Test
+  void bytesAfterAnAnswerWithoutEndBelongToNoRequest() throws Exception {
+    serve(Vector.of(Reply.endless(GOOD, "x"), Reply.once(GOOD)));
+
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
+    assertClosedWithin(0);
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
+  }
+
+  @Test
+  void aSecondAnswerToARequestIsNotTakenForTheNextOne() throws Exception {
+    String second = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad";
+    serve(Vector.of(Reply.once(GOOD + second), Reply.once(GOOD)));
+
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
+    assertClosedWithin(0);
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
+  }
+
+  @Test
+  void aPartOfASecondAnswerIsNotTakenForTheBeginningOfTheNextOne() throws Exception {
+    serve(
+        Vector.of(
+            Reply.once(GOOD + "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nbad"),
+            Reply.once(GOOD)));
+
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
+    assertClosedWithin(0);
+    assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
+  }
+}
--- /dev/null
+++ b/testing/src/main/java/org/clementinepost/testing/backend/RawServerStandIn.java
@@ -0,0 +1,161 @@
+package org.clementinepost.testing.backend;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
+import org.clementinepost.api.NetworkAddress;
+
+/**
+ * A server that sends bytes of any kind where an answer is due, and counts what was taken of them.
+ *
+ * <p>It reads requests without a body, and never ends a connection of its own accord.
+ */
+public final class RawServerStandIn implements AutoCloseable {
+  private static final String HEAD_END = "\r\n\r\n";
+  private static final int BACKLOG = 50;
+  private static final int PIECE_BYTES = 8_192;
+
+  /**
+   * What follows a request.
+   *
+   * @param first sent once, in one piece
+   * @param endless sent after it over and over until the other side closes; empty for nothing
+   * @param pauseMillis the pause before each repetition
+   */
+  public record Reply(String first, String endless, long pauseMillis) {
+    /** Bytes that end. */
+    public static Reply once(String bytes) {
+      return new Reply(bytes, "", 0);
+    }
+
+    /** Bytes that do not end and come as fast as they are taken. */
+    public static Reply endless(String first, String endless) {
+      String piece = endless.repeat(Math.max(1, PIECE_BYTES / endless.length()));
+      return new Reply(first, piece, 0);
+    }
+  }
+
+  private final ServerSocket listener;
+  private final IntFunction<Reply> replies;
+  private final AtomicInteger requests = new AtomicInteger();
+  private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicLong sentBytes = new AtomicLong();
+  private final CountDownLatch closedByOther = new CountDownLatch(1);
+
+  private RawServerStandIn(IntFunction<Reply> replies) {
+    this.replies = replies;
+    try {
+      listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    start(this::accept);
+  }
+
+  /**
+   * Starts on a free port of the loopback interface.
+   *
+   * @param replies gives the reply to each request, counted from one over all connections
+   */
+  public static RawServerStandIn start(IntFunction<Reply> replies) {
+    return new RawServerStandIn(replies);
+  }
+
+  private static void start(Runnable work) {
+    Thread thread = new Thread(work, "raw-server");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = listener.accept();
+        connections.incrementAndGet();
+        start(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The listening socket is closed: the stand-in ends.
+      return;
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      while (readHead(socket.getInputStream())) {
+        send(socket.getOutputStream(), replies.apply(requests.incrementAndGet()));
+      }
+    } catch (IOException e) {
+      // The other side has reset the connection, which is counted below.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      closedByOther.countDown();
+    }
+  }
+
+  private static boolean readHead(InputStream input) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf(HEAD_END) < 0) {
+      int next = input.read();
+      if (next < 0) {
+        return false;
+      }
+      head.append((char) next);
+    }
+    return true;
+  }
+
+  private void send(OutputStream output, Reply reply) throws IOException, InterruptedException {
+    write(output, reply.first());
+    while (!reply.endless().isEmpty()) {
+      TimeUnit.MILLISECONDS.sleep(reply.pauseMillis());
+      write(output, reply.endless());
+    }
+  }
+
+  private void write(OutputStream output, String text) throws IOException {
+    byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+    output.write(bytes);
+    sentBytes.addAndGet(bytes.length);
+  }
+
+  /** Where it listens. */
+  public NetworkAddress address() {
+    return new NetworkAddress(listener.getInetAddress().getHostAddress(), listener.getLocalPort());
+  }
+
+  /** The bytes that the other side's or the system's buffers have taken. */
+  public long sentBytes() {
+    return sentBytes.get();
+  }
+
+  /** The connections that were opened to it. */
+  public int connections() {
+    return connections.get();
+  }
+
+  /** Waits until the other side has closed a connection; tells whether it has. */
+  public boolean awaitClosed(long millis) throws InterruptedException {
+    return closedByOther.await(millis, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    try {
+      listener.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
