--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -84,8 +84,7 @@
     long deadlineMillis = scheduler.now(TimeUnit.MILLISECONDS) + head.timeoutMillis();
     return request(admission, head, body)
         .responseConnection(
-            (response, connection) ->
-                answer(admission, head, deadlineMillis, response, connection))
+            (response, connection) -> answer(admission, head, deadlineMillis, response, connection))
         .singleOrEmpty()
         .onErrorResume(error -> Mono.just(Either.left(failure(admission, error))));
   }
@@ -151,7 +150,8 @@
             response.status().code(), endToEnd(response.responseHeaders()), admission.server(), 0);
     long announcedBytes = announcedBytes(headers);
     if (announcedBytes > MAX_GATHERED_BYTES) {
-      return Mono.just(Either.right(new Answer(head, untilDeadline(body, deadlineMillis, connection))));
+      return Mono.just(
+          Either.right(new Answer(head, untilDeadline(body, deadlineMillis, connection))));
     }
     return Gathering.of(body, MAX_GATHERED_BYTES, MAX_UNSIZED_BYTES)
         .map(
@@ -180,8 +180,7 @@
   }
 
   /** Ends a body that is passed on while it comes, as the caller no longer waits for it. */
-  private Flux<Chunk> untilDeadline(
-      Flux<Chunk> body, long deadlineMillis, Connection connection) {
+  private Flux<Chunk> untilDeadline(Flux<Chunk> body, long deadlineMillis, Connection connection) {
     return Flux.defer(
         () -> {
           long leftMillis = Math.max(0, deadlineMillis - scheduler.now(TimeUnit.MILLISECONDS));
--- a/node/src/main/java/org/clementinepost/node/exchange/BodyFailedException.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BodyFailedException.java
@@ -1,6 +1,7 @@
 package org.clementinepost.node.exchange;
 
 import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
 
 /** Ends a body that is not whole. */
 public final class BodyFailedException extends RuntimeException {
@@ -13,6 +14,13 @@
     this.failure = failure;
   }
 
+  /** Why a body that ended with an error is not whole. */
+  public static Failure failureOf(Throwable error) {
+    return error instanceof BodyFailedException failed
+        ? failed.failure()
+        : Failure.of(ResultCode.BACKEND_ANSWER_LOST, String.valueOf(error.getMessage()));
+  }
+
   /** Why the body is not whole. */
   public Failure failure() {
     return failure;
--- a/node/src/main/java/org/clementinepost/node/exchange/ExchangeEnd.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeEnd.java
@@ -40,17 +40,14 @@
             .doOnRequest(chunks -> owedChunks.accumulateAndGet(chunks, Operators::addCap))
             .doOnComplete(() -> tell(Option.none(), status, serverMicros))
             .doOnError(
-                error -> tell(evidence(failure(error), owedChunks.get()), status, serverMicros))
+                error ->
+                    tell(
+                        evidence(BodyFailedException.failureOf(error), owedChunks.get()),
+                        status,
+                        serverMicros))
             .doOnCancel(() -> tell(Option.none(), status, serverMicros)));
   }
 
-  /** Why the body of an answer is not whole. */
-  static Failure failure(Throwable error) {
-    return error instanceof BodyFailedException failed
-        ? failed.failure()
-        : Failure.of(ResultCode.BACKEND_ANSWER_LOST, String.valueOf(error.getMessage()));
-  }
-
   /** A body that its reader was too slow for says nothing of the backend server. */
   private static Option<Failure> evidence(Failure failure, long owedChunks) {
     return failure.code() == ResultCode.BACKEND_TIMED_OUT && owedChunks <= 0
--- a/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
@@ -133,7 +133,8 @@
             .body()
             .doOnError(
                 error ->
-                    logUnlessGood(head, admission, Either.left(ExchangeEnd.failure(error)))));
+                    logUnlessGood(
+                        head, admission, Either.left(BodyFailedException.failureOf(error)))));
   }
 
   private static void logUnlessGood(
--- a/node/src/main/java/org/clementinepost/node/exchange/Gathering.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/Gathering.java
@@ -107,8 +107,7 @@
       rest.tryEmitComplete();
       return;
     }
-    sink.success(
-        new Gathered(true, start.size() == 0 ? Flux.empty() : Flux.just(taken())));
+    sink.success(new Gathered(true, start.size() == 0 ? Flux.empty() : Flux.just(taken())));
   }
 
   @Override
--- a/node/src/main/java/org/clementinepost/node/peer/BodySender.java
+++ b/node/src/main/java/org/clementinepost/node/peer/BodySender.java
@@ -4,8 +4,6 @@
 import java.util.Arrays;
 import java.util.List;
 import org.clementinepost.api.Chunk;
-import org.clementinepost.api.Failure;
-import org.clementinepost.api.ResultCode;
 import org.clementinepost.kernel.Address;
 import org.clementinepost.node.exchange.BodyFailedException;
 import org.reactivestreams.Subscription;
@@ -78,13 +76,8 @@
 
   @Override
   protected void hookOnError(Throwable error) {
-    connection.send(new ConnectionMessage.BodyFailed(streamId, failure(error)));
-  }
-
-  private static Failure failure(Throwable error) {
-    return error instanceof BodyFailedException failed
-        ? failed.failure()
-        : Failure.of(ResultCode.BACKEND_ANSWER_LOST, String.valueOf(error.getMessage()));
+    connection.send(
+        new ConnectionMessage.BodyFailed(streamId, BodyFailedException.failureOf(error)));
   }
 
   /** Stops reading, and lets go of a body that nothing has been read of. */
--- a/node/src/test/java/org/clementinepost/node/exchange/EndlessAnswerTest.java
+++ b/node/src/test/java/org/clementinepost/node/exchange/EndlessAnswerTest.java
@@ -54,9 +54,7 @@
   }
 
   private void serve(Vector<Reply> replies) {
-    server =
-        RawServerStandIn.start(
-            request -> replies.get(Math.min(request, replies.size()) - 1));
+    server = RawServerStandIn.start(request -> replies.get(Math.min(request, replies.size()) - 1));
     kernel =
         Kernel.builder()
             .scheduler(Schedulers.parallel())
@@ -200,8 +198,7 @@
   void aRefusalWithABodyWithoutEndIsBelievedFromItsHead() throws Exception {
     serve(Reply.endless(SHED + "\r\n", "x"));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_SERVER_SHED);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_SERVER_SHED);
     assertClosedWithin(0);
   }
 
@@ -209,8 +206,7 @@
   void aRefusalWhoseBodyTricklesIsBelievedFromItsHead() throws Exception {
     serve(new Reply(SHED + "\r\n", "x", 20));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_SERVER_SHED);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_SERVER_SHED);
     assertClosedWithin(0);
   }
 
@@ -218,8 +214,7 @@
   void aRefusalWithAShortBodyKeepsItsConnection() {
     serve(Vector.of(Reply.once(SHED + "Content-Length: 4\r\n\r\nbusy"), Reply.once(GOOD)));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_SERVER_SHED);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_SERVER_SHED);
     assertThat(text(ask(FAR_DEADLINE_MILLIS))).isEqualTo("good");
     assertThat(server.connections()).isEqualTo(1);
   }
@@ -228,8 +223,7 @@
   void aStatusLineWithoutEndIsNoAnswer() throws Exception {
     serve(Reply.endless("HTTP/1.1 200 ", "x"));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
     assertThat(firstEnd()).contains(ResultCode.BACKEND_ANSWER_LOST);
     assertClosedWithin(0);
   }
@@ -238,8 +232,7 @@
   void headerFieldsWithoutEndAreNoAnswer() throws Exception {
     serve(Reply.endless("HTTP/1.1 200 OK\r\n", "X-Field: x\r\n"));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
     assertThat(firstEnd()).contains(ResultCode.BACKEND_ANSWER_LOST);
     assertClosedWithin(0);
   }
@@ -248,8 +241,7 @@
   void blankLinesWithoutEndAreNoAnswer() throws Exception {
     serve(Reply.endless("", "\r\n"));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
     assertClosedWithin(0);
   }
 
@@ -257,8 +249,7 @@
   void interimAnswersWithoutEndAreNoAnswer() throws Exception {
     serve(Reply.endless("", "HTTP/1.1 102 Processing\r\n\r\n"));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
     assertThat(firstEnd()).contains(ResultCode.BACKEND_ANSWER_LOST);
     assertClosedWithin(0);
   }
@@ -267,8 +258,7 @@
   void aChunkExtensionWithoutEndIsNoAnswer() throws Exception {
     serve(Reply.endless(CHUNKED + "8;a=", "x"));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
     assertClosedWithin(0);
   }
 
@@ -276,8 +266,7 @@
   void trailersWithoutEndAreNoAnswer() throws Exception {
     serve(Reply.endless(CHUNKED + "4\r\ngood\r\n0\r\n", "X-Field: x\r\n"));
 
-    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code())
-        .isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+    assertThat(ask(FAR_DEADLINE_MILLIS).getLeft().code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
     assertClosedWithin(0);
   }
 
