--- a/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.control.Option;
+import java.time.Duration;
+import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.ResultCode;
@@ -11,6 +13,7 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.node.exchange.Gathering;
 import org.clementinepost.node.host.HostMessage;
 import org.clementinepost.node.host.HostService;
 import org.clementinepost.policy.host.AnnounceProtocol;
@@ -32,6 +35,12 @@
   private static final String JSON = "application/json";
   private static final int ACCEPTED_STATUS = 202;
 
+  /** An announcement has a few short fields. */
+  private static final int MAX_ANNOUNCEMENT_BYTES = 64 << 10;
+
+  /** How long a backend server may send nothing in the middle of an announcement. */
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(5);
+
   /** The protocol of the product itself. */
   public static final AnnounceProtocol OWN_PROTOCOL =
       new AnnounceProtocol(AnnouncementReader::read, ACCEPTED_STATUS, "", Option.none());
@@ -50,6 +59,7 @@
         HttpServer.create()
             .host(address.host())
             .port(address.port())
+            .readTimeout(READ_TIMEOUT)
             .handle(this::announce)
             .bindNow();
   }
@@ -64,10 +74,20 @@
   }
 
   private Publisher<Void> announce(HttpServerRequest request, HttpServerResponse response) {
-    return request
-        .receive()
-        .aggregate()
-        .asByteArray()
+    return Gathering.of(
+            request.receive().asByteArray().map(Chunk::owning),
+            MAX_ANNOUNCEMENT_BYTES,
+            MAX_ANNOUNCEMENT_BYTES)
+        .flatMap(
+            gathered -> gathered.whole() ? taken(request, response, gathered) : tooLong(response));
+  }
+
+  private Mono<Void> taken(
+      HttpServerRequest request, HttpServerResponse response, Gathering.Gathered gathered) {
+    return gathered
+        .body()
+        .map(Chunk::bytes)
+        .next()
         .defaultIfEmpty(new byte[0])
         .map(body -> protocol.reader().read(request.uri(), body))
         .flatMap(
@@ -77,6 +97,14 @@
                     announcement -> take(response, announcement)));
   }
 
+  /** The rest of the body is not read, so nothing can follow it on its connection. */
+  private static Mono<Void> tooLong(HttpServerResponse response) {
+    response.keepAlive(false);
+    return refuse(
+        response,
+        Failure.of(ResultCode.BODY_TOO_LARGE, "more than " + MAX_ANNOUNCEMENT_BYTES + " bytes"));
+  }
+
   private Mono<Void> take(HttpServerResponse response, Announcement announcement) {
     if (!host.send(new HostMessage.Announced(announcement)).accepted()) {
       return refuse(response, Failure.of(ResultCode.NODE_OVERLOADED));
--- a/node/src/main/java/org/clementinepost/node/announce/FirstLookService.java
+++ b/node/src/main/java/org/clementinepost/node/announce/FirstLookService.java
@@ -108,7 +108,8 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .get()
         .uri("http://" + address + healthPath.get())
-        .responseSingle((response, body) -> body.then(Mono.just(read(response))))
+        .response((response, body) -> Mono.just(read(response)))
+        .single()
         .timeout(PATIENCE)
         .onErrorResume(
             error -> {
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/announce/EndlessAnnouncementTest.java
@@ -0,0 +1,126 @@
+package org.clementinepost.node.announce;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.config.Service;
+import org.clementinepost.api.config.Snapshot;
+import org.clementinepost.kernel.Kernel;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.node.host.HostMessage;
+import org.clementinepost.node.host.HostService;
+import org.clementinepost.policy.host.Announcement;
+import org.clementinepost.testing.backend.RawServerStandIn;
+import org.clementinepost.testing.backend.RawServerStandIn.Reply;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Schedulers;
+
+/** What a backend server says of itself, without end. */
+final class EndlessAnnouncementTest {
+  private static final Duration PATIENCE = Duration.ofSeconds(60);
+  private static final int PIECE_BYTES = 8_192;
+
+  /** Far more than the bound and what sockets take ahead of it. */
+  private static final long ANNOUNCED_BYTES = 64L << 20;
+
+  private static final String HEAD =
+      "POST /announce HTTP/1.1\r\nHost: node\r\nContent-Length: " + ANNOUNCED_BYTES + "\r\n\r\n";
+
+  private final Sinks.One<HostMessage> told = Sinks.one();
+
+  private Kernel.Builder kernel() {
+    return Kernel.builder()
+        .scheduler(Schedulers.parallel())
+        .service(
+            new ServiceDefinition<>(
+                HostService.NAME, 100, context -> message -> told.tryEmitValue(message)));
+  }
+
+  @Test
+  void anAnnouncementThatIsTooLongIsReadNoFurtherThanItsBound() throws Exception {
+    Kernel kernel =
+        kernel()
+            .service(
+                AnnounceService.definition(
+                    new NetworkAddress("127.0.0.1", 0), AnnounceService.OWN_PROTOCOL))
+            .start();
+    int port =
+        Mono.<Integer>create(
+                sink ->
+                    kernel
+                        .find(AnnounceService.NAME)
+                        .send(new AnnounceMessage.PortAsked(sink::success)))
+            .block(PATIENCE);
+
+    long sentBytes = sendUntilClosed(port);
+
+    kernel.dispose();
+    assertThat(sentBytes).isLessThan(ANNOUNCED_BYTES);
+  }
+
+  private static long sendUntilClosed(int port) throws IOException {
+    long sentBytes = 0;
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.getOutputStream().write(HEAD.getBytes(StandardCharsets.ISO_8859_1));
+      while (sentBytes < ANNOUNCED_BYTES) {
+        socket.getOutputStream().write(new byte[PIECE_BYTES]);
+        sentBytes += PIECE_BYTES;
+      }
+    } catch (SocketException e) {
+      // The node has closed the connection, as it should.
+      return sentBytes;
+    }
+    return sentBytes;
+  }
+
+  @Test
+  void aServerWhoseHealthAnswerHasNoEndIsFoundByItsHead() {
+    RawServerStandIn server =
+        RawServerStandIn.start(request -> Reply.endless("HTTP/1.1 200 OK\r\n\r\n", "x"));
+    ServiceId service = new ServiceId("s");
+    Kernel kernel =
+        kernel()
+            .service(
+                FirstLookService.definition(
+                    server.address(),
+                    service,
+                    (name, address, status, headers) -> found(name, address)))
+            .start();
+
+    kernel
+        .find(FirstLookService.NAME)
+        .send(
+            new FirstLookMessage.Configured(
+                Snapshot.empty().with(new Service(service, 50, 1, 2_000, 0, 1))));
+
+    assertThat(told.asMono().block(PATIENCE)).isInstanceOf(HostMessage.Found.class);
+    kernel.dispose();
+    server.close();
+  }
+
+  private static Option<Announcement> found(ServiceId service, NetworkAddress address) {
+    return Option.some(
+        new Announcement(
+            new BackendServerId("b"),
+            service,
+            address,
+            1,
+            1,
+            Announcement.State.SERVING,
+            0,
+            0,
+            0,
+            Option.none()));
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/rows/EndlessStoreAnswerTest.java
@@ -0,0 +1,39 @@
+package org.clementinepost.node.rows;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.platform.StoreClient;
+import org.clementinepost.testing.backend.RawServerStandIn;
+import org.clementinepost.testing.backend.RawServerStandIn.Reply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A store whose answer has no end. */
+final class EndlessStoreAnswerTest {
+  private static final Duration PATIENCE = Duration.ofSeconds(60);
+  private static final long WAIT_MILLIS = 30_000;
+  private static final long ANSWER_BYTES = 4 << 20;
+
+  /** What sockets of the loopback interface and the client's reading ahead may hold besides. */
+  private static final long SOCKET_BUFFER_BYTES = 12 << 20;
+
+  private final RawServerStandIn server =
+      RawServerStandIn.start(request -> Reply.endless("HTTP/1.1 200 OK\r\n\r\n", "x"));
+  private final StoreClient store = new StoreClient(server.address());
+
+  @AfterEach
+  void stop() {
+    store.dispose();
+    server.close();
+  }
+
+  @Test
+  void anAnswerOfTheStoreWithoutEndIsReadNoFurtherThanItsBound() throws Exception {
+    assertThat(store.changesSince("op", 1, WAIT_MILLIS).block(PATIENCE).getLeft().code())
+        .isEqualTo(ResultCode.PLATFORM_PROTOCOL);
+    assertThat(server.awaitClosed(PATIENCE.toMillis())).isTrue();
+    assertThat(server.sentBytes()).isLessThan(ANSWER_BYTES + SOCKET_BUFFER_BYTES);
+  }
+}
