Keep a backend server's error until another attempt has an answer

Cause: RequestPipeline discarded the first answer once the next attempt was placed, and moreTelling put 3101 in its place when the next attempt had not run; when that one timed out, its 504 was given.

Now the first answer is read whole (64 KiB at most) before the next attempt, which also frees its slot at the host, and is delivered if the next one has no answer, run or not. A longer one is delivered as it is, without another attempt; one that breaks off is followed as a lost answer.

Excluded: the case that nobody takes the next attempt kept the answer before (its test passed). Before the fix RequestPipelineTest failed three times: refused and unanswered second attempts "get() on Left", an error of 100 KiB "but was: 200".

--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -26,9 +26,11 @@
 import org.clementinepost.node.directory.DirectoryMessage;
 import org.clementinepost.node.directory.DirectoryService;
 import org.clementinepost.node.exchange.Answer;
+import org.clementinepost.node.exchange.BodyFailedException;
 import org.clementinepost.node.exchange.ExchangeMessage;
 import org.clementinepost.node.exchange.ExchangeService;
 import org.clementinepost.node.exchange.Exchanges;
+import org.clementinepost.node.exchange.Gathering;
 import org.clementinepost.node.host.HostMessage;
 import org.clementinepost.node.host.HostService;
 import org.clementinepost.node.peer.PeerService;
@@ -55,6 +57,10 @@
   private static final long HOST_GRACE_MILLIS = 20;
 
   private static final int FIRST_ERROR_STATUS = 400;
+
+  /** Up to this length a backend server's error is kept while another attempt is made. */
+  private static final int MAX_KEPT_BYTES = 64 << 10;
+
   private static final Duration LOOK_UP_LIMIT = Duration.ofMillis(2_500);
 
   private final NodeId self;
@@ -179,24 +185,67 @@
       Set<BackendServerId> tried,
       long deadlineNanos,
       Either<Failure, Answer> answer) {
-    long remainingMillis = remainingMillis(deadlineNanos);
-    if (!mayFollow(head, tried.size(), answer, body.started(), remainingMillis)) {
+    if (!mayFollow(head, tried.size(), answer, body.started(), remainingMillis(deadlineNanos))) {
       return lastResort(head, body, deadlineNanos, answer);
     }
+    return answer.fold(
+        failure -> follow(head, body, tried, deadlineNanos, answer),
+        whole -> replace(head, body, tried, deadlineNanos, whole));
+  }
+
+  /**
+   * Tries to replace a backend server's answer by a better one.
+   *
+   * <p>The answer is kept meanwhile, since the attempt that follows may find no place or no answer.
+   * One that is too long to be kept is delivered.
+   */
+  private Mono<Either<Failure, Answer>> replace(
+      RequestHead head,
+      UploadBody body,
+      Set<BackendServerId> tried,
+      long deadlineNanos,
+      Answer answer) {
+    return gathered(answer, remainingMillis(deadlineNanos))
+        .flatMap(
+            result ->
+                result.fold(
+                    failure -> answered(head, body, tried, deadlineNanos, Either.left(failure)),
+                    read -> {
+                      Answer kept = new Answer(answer.head(), read.body());
+                      return read.whole()
+                          ? follow(head, body, tried, deadlineNanos, Either.right(kept))
+                          : Mono.just(Either.right(kept));
+                    }));
+  }
+
+  private Mono<Either<Failure, Gathering.Gathered>> gathered(Answer answer, long remainingMillis) {
+    return Gathering.of(answer.body(), MAX_KEPT_BYTES, Long.MAX_VALUE)
+        .map(Either::<Failure, Gathering.Gathered>right)
+        .timeout(Duration.ofMillis(remainingMillis + HOST_GRACE_MILLIS), scheduler)
+        .onErrorResume(
+            TimeoutException.class,
+            error -> Mono.just(Either.left(Failure.of(ResultCode.BACKEND_TIMED_OUT))))
+        .onErrorResume(error -> Mono.just(Either.left(BodyFailedException.failureOf(error))));
+  }
+
+  private Mono<Either<Failure, Answer>> follow(
+      RequestHead head,
+      UploadBody body,
+      Set<BackendServerId> tried,
+      long deadlineNanos,
+      Either<Failure, Answer> answer) {
     boolean reached = answer.fold(RetryPolicy::reachedServer, whole -> true);
     RequestHead next =
-        head.nextAttempt(head.attempt() + (reached ? 1 : 0), remainingMillis)
+        head.nextAttempt(head.attempt() + (reached ? 1 : 0), remainingMillis(deadlineNanos))
             .with(head.handling().with(RetryPolicy.insistence(tried.size())));
     return place(next, tried)
         .flatMap(
             placed ->
                 placed.fold(
                     nobody -> lastResort(head, body, deadlineNanos, answer),
-                    placement -> {
-                      answer.forEach(Answer::discard);
-                      return attempt(next, body, tried, deadlineNanos, placement)
-                          .map(second -> moreTelling(answer, second));
-                    }));
+                    placement ->
+                        attempt(next, body, tried, deadlineNanos, placement)
+                            .map(second -> moreTelling(answer, second))));
   }
 
   /** A backend server that fails most requests is still better than none. */
@@ -233,16 +282,18 @@
                 head, places, whole.head().status(), bodyStarted, remainingMillis));
   }
 
-  /** A refusal of the next attempt does not make the one before not run. */
+  /**
+   * A backend server's own answer tells more than none; and a refusal of the next attempt does not
+   * make the one before not run.
+   */
   private static Either<Failure, Answer> moreTelling(
       Either<Failure, Answer> first, Either<Failure, Answer> second) {
-    if (second.isRight() || second.getLeft().runState() != RunState.NOT_RUN) {
-      return second;
-    }
-    if (first.isRight()) {
-      return Either.left(Failure.of(ResultCode.BACKEND_ANSWER_LOST));
+    if (second.isRight() || first.isRight()) {
+      return second.isRight() ? second : first;
     }
-    return first.getLeft().runState() == RunState.NOT_RUN ? second : first;
+    boolean secondMayHaveRun = second.getLeft().runState() != RunState.NOT_RUN;
+    boolean firstMayHaveRun = first.getLeft().runState() != RunState.NOT_RUN;
+    return secondMayHaveRun || !firstMayHaveRun ? second : first;
   }
 
   private Mono<Either<Failure, Answer>> exchange(
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/edge/RequestPipelineTest.java
@@ -0,0 +1,209 @@
+package org.clementinepost.node.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Chunk;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.HostReport;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.RequestId;
+import org.clementinepost.api.ResponseHead;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.kernel.Kernel;
+import org.clementinepost.kernel.MonotonicClock;
+import org.clementinepost.kernel.ServiceDefinition;
+import org.clementinepost.kernel.ServiceName;
+import org.clementinepost.node.access.AccessMessage;
+import org.clementinepost.node.access.AccessService;
+import org.clementinepost.node.exchange.Answer;
+import org.clementinepost.node.exchange.BodyFailedException;
+import org.clementinepost.node.exchange.ExchangeMessage;
+import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.node.routing.RoutingMessage;
+import org.clementinepost.node.routing.RoutingService;
+import org.clementinepost.policy.access.ArrivedRequest;
+import org.clementinepost.policy.routing.Placement;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Flux;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** The pipeline among services that answer by order. */
+final class RequestPipelineTest {
+  private static final NodeId SELF = new NodeId("self");
+  private static final ServiceId SERVICE = new ServiceId("s");
+  private static final int ERROR_STATUS = 500;
+  private static final int OK_STATUS = 200;
+  private static final long TIMEOUT_MILLIS = 1_000;
+  private static final int LONG_BODY_BYTES = 100 << 10;
+
+  private final VirtualTimeScheduler scheduler = VirtualTimeScheduler.create();
+  private final List<Either<Failure, Answer>> outcomes = new ArrayList<>();
+  private Vector<Option<Either<Failure, Answer>>> attempts = Vector.empty();
+  private int places;
+  private int sent;
+
+  /** Runs a request that can be repeated; an attempt without an outcome gets no answer. */
+  private void run(int mostPlaces, Vector<Option<Either<Failure, Answer>>> outcomesOfAttempts) {
+    attempts = outcomesOfAttempts;
+    Kernel kernel =
+        Kernel.builder()
+            .scheduler(scheduler)
+            .clock(MonotonicClock.of(scheduler))
+            .service(service(AccessService.NAME, this::access))
+            .service(service(RoutingService.NAME, message -> route(message, mostPlaces)))
+            .service(service(ExchangeService.NAME, this::exchange))
+            .start();
+    RequestPipeline pipeline =
+        new RequestPipeline(SELF, MonotonicClock.of(scheduler), scheduler, kernel);
+    ArrivedRequest request =
+        new ArrivedRequest(
+            new RequestId("r"),
+            Option.none(),
+            "GET",
+            "/",
+            Vector.empty(),
+            Option.none(),
+            Option.none(),
+            RequestHead.NO_BODY);
+    pipeline.run(request, new UploadBody(Flux.empty(), 1)).subscribe(outcomes::add);
+    scheduler.advanceTimeBy(Duration.ofMillis(2 * TIMEOUT_MILLIS));
+  }
+
+  private static <M> ServiceDefinition<M> service(ServiceName<M> name, Consumer<M> behaviour) {
+    return new ServiceDefinition<>(name, 100, context -> behaviour::accept);
+  }
+
+  private void access(AccessMessage message) {
+    if (message instanceof AccessMessage.Arrived arrived) {
+      RequestHead head =
+          new RequestHead(
+              arrived.request().requestId(),
+              1,
+              Option.none(),
+              SERVICE,
+              "GET",
+              "/",
+              Vector.empty(),
+              true,
+              Option.none(),
+              TIMEOUT_MILLIS,
+              RequestHead.NO_BODY);
+      arrived.reply().send(Either.right(head));
+    }
+  }
+
+  private void route(RoutingMessage message, int mostPlaces) {
+    if (message instanceof RoutingMessage.Place place) {
+      places++;
+      BackendServerId server = new BackendServerId("b" + places);
+      Endpoint endpoint = new Endpoint(server, SERVICE, SELF, new FailureDomainId("a"), 1);
+      place
+          .reply()
+          .send(
+              places > mostPlaces
+                  ? Either.left(Failure.of(ResultCode.NO_BACKEND_SERVER))
+                  : Either.right(new Placement(endpoint)));
+    }
+    if (message instanceof RoutingMessage.Served served) {
+      served.reply().send(HostReport.HEALTHY);
+    }
+  }
+
+  private void exchange(ExchangeMessage message) {
+    ExchangeMessage.Send send = (ExchangeMessage.Send) message;
+    attempts.get(sent++).forEach(send.reply()::send);
+  }
+
+  private static Option<Either<Failure, Answer>> answer(int status, Flux<Chunk> body) {
+    ResponseHead head = new ResponseHead(status, Vector.empty(), new BackendServerId("b"), 0);
+    return Option.some(Either.right(new Answer(head, body)));
+  }
+
+  private static Option<Either<Failure, Answer>> answer(int status, String body) {
+    return answer(status, Flux.just(Chunk.owning(body.getBytes(StandardCharsets.US_ASCII))));
+  }
+
+  private static Option<Either<Failure, Answer>> failed(ResultCode code) {
+    return Option.some(Either.left(Failure.of(code)));
+  }
+
+  private void assertAnswered(int status, String body) {
+    assertThat(outcomes).hasSize(1);
+    Answer answer = outcomes.get(0).get();
+    assertThat(answer.head().status()).isEqualTo(status);
+    StringBuilder text = new StringBuilder();
+    answer
+        .body()
+        .subscribe(chunk -> text.append(new String(chunk.bytes(), StandardCharsets.US_ASCII)));
+    assertThat(text).hasToString(body);
+  }
+
+  @Test
+  void anErrorOfAServerReachesTheCallerWhenTheNextAttemptIsRefused() {
+    run(2, Vector.of(answer(ERROR_STATUS, "mine"), failed(ResultCode.HOST_QUEUE_FULL)));
+
+    assertAnswered(ERROR_STATUS, "mine");
+  }
+
+  @Test
+  void anErrorOfAServerReachesTheCallerWhenTheNextAttemptIsNotAnswered() {
+    run(2, Vector.of(answer(ERROR_STATUS, "mine"), Option.none()));
+
+    assertAnswered(ERROR_STATUS, "mine");
+  }
+
+  @Test
+  void anErrorOfAServerReachesTheCallerWhenThereIsNoOtherPlace() {
+    run(1, Vector.of(answer(ERROR_STATUS, "mine")));
+
+    assertAnswered(ERROR_STATUS, "mine");
+  }
+
+  @Test
+  void anErrorOfAServerIsReplacedByTheNextAnswer() {
+    run(2, Vector.of(answer(ERROR_STATUS, "mine"), answer(OK_STATUS, "good")));
+
+    assertAnswered(OK_STATUS, "good");
+  }
+
+  @Test
+  void anErrorThatIsTooLongToBeKeptIsDelivered() {
+    String body = "x".repeat(LONG_BODY_BYTES);
+    run(2, Vector.of(answer(ERROR_STATUS, body), answer(OK_STATUS, "good")));
+
+    assertAnswered(ERROR_STATUS, body);
+    assertThat(sent).isEqualTo(1);
+  }
+
+  @Test
+  void anErrorWhoseBodyIsCutIsFollowedByAnotherAttempt() {
+    Flux<Chunk> cut =
+        Flux.error(new BodyFailedException(Failure.of(ResultCode.BACKEND_ANSWER_LOST)));
+    run(2, Vector.of(answer(ERROR_STATUS, cut), answer(OK_STATUS, "good")));
+
+    assertAnswered(OK_STATUS, "good");
+  }
+
+  @Test
+  void aRefusalDoesNotMakeTheAttemptBeforeItNotRun() {
+    run(
+        2,
+        Vector.of(
+            failed(ResultCode.BACKEND_ANSWER_LOST), failed(ResultCode.BACKEND_SERVER_DRAINING)));
+
+    assertThat(outcomes.get(0).getLeft().code()).isEqualTo(ResultCode.BACKEND_ANSWER_LOST);
+  }
+}
