Answer 503 to requests that have certainly not run

Callers got 502 for a request whose backend server's port took no connection (3008), although nothing had been sent: 502 promises nothing, so a request that may run once only could not be sent again. 3008, and 1005 which nothing sends today, are now answered by 503 like every other outcome that has not run.

--- a/api/src/main/java/org/clementinepost/api/ResultCode.java
+++ b/api/src/main/java/org/clementinepost/api/ResultCode.java
@@ -16,7 +16,7 @@
   HEADERS_TOO_LARGE(1002, 431, 10, RunState.NOT_RUN, "The request's headers are too large"),
   BODY_TOO_LARGE(1003, 413, 10, RunState.NOT_RUN, "The request's body is too large"),
   REQUEST_TIMED_OUT(1004, 408, 10, RunState.NOT_RUN, "The caller sent too slowly"),
-  DEADLINE_PASSED(1005, 504, 10, RunState.NOT_RUN, "The deadline passed before the request ran"),
+  DEADLINE_PASSED(1005, 503, 10, RunState.NOT_RUN, "The deadline passed before the request ran"),
   KEY_MISSING(1101, 401, 11, RunState.NOT_RUN, "The route asks for a key and none came"),
   KEY_UNKNOWN(1102, 401, 11, RunState.NOT_RUN, "The key is unknown or withdrawn"),
   CUSTOMER_NOT_ALLOWED(1103, 403, 11, RunState.NOT_RUN, "The route is closed to this customer"),
@@ -36,7 +36,7 @@
   DUPLICATE_ATTEMPT(3006, 409, 30, RunState.NOT_RUN, "This attempt has already been admitted"),
   IDEMPOTENCY_KEY_IN_USE(
       3007, 409, 30, RunState.NOT_RUN, "A request with this idempotency key has been started"),
-  BACKEND_CONNECT_FAILED(3008, 502, 30, RunState.NOT_RUN, "No connection to the backend server"),
+  BACKEND_CONNECT_FAILED(3008, 503, 30, RunState.NOT_RUN, "No connection to the backend server"),
   BACKEND_SERVER_FAILING(
       3009, 503, 30, RunState.NOT_RUN, "The host holds back a backend server that fails"),
   BACKEND_SERVER_UNPROVEN(
