Refuse a request that waits at its host before its deadline passes

A request waited at its host for up to a quarter of its target, whatever time it had left. The ingress gave it up 20 ms after its deadline with 3102 (504, fate unknown), although the host had never begun it and went on to refuse it 50 ms later at best. Requests with little time left, such as calls that expire with their parent, met this most.

A request now waits until 100 ms before its deadline at most: two of the 50 ms rounds in which those that wait are looked at. One with less than that is refused at once, and may look elsewhere. Either is true: the host takes a refused request from its queue in the same step.

--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -22,6 +22,14 @@
   /** The part of the time within which an answer is worth most that a request may wait. */
   private static final int PATIENCE_DIVISOR = 4;
 
+  /**
+   * What is left of a request's time when it stops waiting.
+   *
+   * <p>Those that wait are looked at every 50 ms; the ingress must have the host's word, by which
+   * the request has not run, before it gives the request up as one whose fate is unknown.
+   */
+  private static final long MIN_LEFT_MILLIS = 100;
+
   /** Requests that wait for each slot at most. */
   private static final int WAITING_PER_SLOT = 1;
 
@@ -69,7 +77,9 @@
     if (insistence(admit) == Insistence.FREE_SLOT) {
       return 0;
     }
-    return TimeUnit.MILLISECONDS.toNanos(admit.head().handling().targetMillis()) / PATIENCE_DIVISOR;
+    long worthMillis = admit.head().handling().targetMillis() / PATIENCE_DIVISOR;
+    long leftMillis = admit.head().timeoutMillis() - MIN_LEFT_MILLIS;
+    return TimeUnit.MILLISECONDS.toNanos(Math.max(0, Math.min(worthMillis, leftMillis)));
   }
 
   /** Whether a backend server takes work at all. */
--- a/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -77,6 +77,11 @@
   }
 
   private void admit(String id, boolean idempotent, int priority, Insistence insistence) {
+    admit(id, idempotent, priority, insistence, 5_000);
+  }
+
+  private void admit(
+      String id, boolean idempotent, int priority, Insistence insistence, long timeoutMillis) {
     RequestHead head =
         new RequestHead(
             new RequestId(id),
@@ -88,7 +93,7 @@
             Vector.empty(),
             idempotent,
             Option.none(),
-            5_000,
+            timeoutMillis,
             0,
             new Handling(priority, TARGET_MILLIS, 2, Option.none(), insistence));
     decide(
@@ -168,6 +173,26 @@
     assertThat(answers).endsWith("late ok");
   }
 
+  @Test
+  void whoWaitsIsRefusedBeforeItsDeadlineMakesItsFateUnknown() {
+    announce();
+    admit("a");
+    admit("b");
+    admit("short", false, 1, Insistence.WAITS, 200);
+    nowMillis += 150;
+    decide(new HostEvent.Tick(nowNanos()));
+    assertThat(answers).endsWith("short HOST_QUEUE_TIMEOUT");
+  }
+
+  @Test
+  void whoHasNoTimeToWaitIsRefusedAtOnce() {
+    announce();
+    admit("a");
+    admit("b");
+    admit("short", false, 1, Insistence.WAITS, 40);
+    assertThat(answers).endsWith("short HOST_QUEUE_FULL");
+  }
+
   @Test
   void whoWaitsTooLongIsRefused() {
     announce();
