A keeper that stops looks for the next one until it finds it

Callers of a stopping keeper got 429 (4002) for requests within the quota until 0.5 s after its seat was given back.

Cause: the row was read once, a few milliseconds after it was given back, and found vacant; nobody had taken it yet. The next look was half a second away, and nothing asked for one while no new request came. Other nodes take a vacant seat when they read it, so the shorter gap costs calls at a stopping keeper alone.

--- a/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
@@ -300,8 +300,12 @@
         overdue(entry._1, entry._2, nowNanos);
       }
     }
-    if (!pending.isEmpty()) {
-      sweepSoon();
+    if (pending.isEmpty()) {
+      return;
+    }
+    sweepSoon();
+    if (seating.keeper().isEmpty()) {
+      decide(new SeatEvent.Missed(nowNanos));
     }
   }
 
--- a/policy/src/main/java/org/clementinepost/policy/quota/SeatPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/SeatPolicy.java
@@ -23,6 +23,9 @@
 
   private static final long READ_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** A seat that was given back is soon taken by a node that goes on. */
+  private static final long VACANT_READ_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
   /** Whether this node may give out tokens now. */
   public boolean isKeeper(SeatState state, long cautiousNanos) {
     return state.leaseNanos().exists(sent -> cautiousNanos - sent < LEASE_NANOS);
@@ -55,7 +58,8 @@
   }
 
   private static Step<SeatState, SeatEffect> missed(SeatState state, long nowNanos) {
-    boolean tooSoon = nowNanos - state.readNanos() < READ_GAP_NANOS;
+    long gapNanos = state.seat().contains(Seat.vacant()) ? VACANT_READ_GAP_NANOS : READ_GAP_NANOS;
+    boolean tooSoon = nowNanos - state.readNanos() < gapNanos;
     if (state.busy() || tooSoon || state.leaseNanos().isDefined()) {
       return Step.to(state);
     }
