Pass on while it comes an answer that begins right before its deadline

Found by review: since answers of other nodes are handed on when they are whole, one that the host had ready shortly before the deadline could end as 504 while its last bytes were on their way, also for a request that may run once and had run to a good end. Ready answers are delivered, also late.

Answers whose head or a piece of whose body comes within 100 ms of the deadline are handed on at once, as long ones are; the time-out of the attempt then ends with the head, as before.

--- a/node/src/main/java/org/clementinepost/node/peer/ArrivingAnswer.java
+++ b/node/src/main/java/org/clementinepost/node/peer/ArrivingAnswer.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
@@ -13,8 +14,8 @@
  * An answer that arrives on a stream.
  *
  * <p>It is handed on when its body is whole, so that one that breaks off can still be replaced by
- * another answer or by a failure. A body longer than {@link #MAX_HELD_BYTES} is handed on while it
- * comes. The connection's task alone uses it.
+ * another answer or by a failure. A body longer than {@link #MAX_HELD_BYTES}, and one whose caller
+ * is about to give up, is handed on while it comes. The connection's task alone uses it.
  */
 final class ArrivingAnswer {
   private static final int MAX_HELD_BYTES = 256 << 10;
@@ -22,20 +23,32 @@
   private final ResponseHead head;
   private final BodyReceiver body;
   private final IntConsumer demand;
+  private final BooleanSupplier due;
   private final Reply<Either<Failure, Answer>> reply;
   private int chunksDue;
   private boolean handedOn;
 
-  /** Takes an answer whose head has come, and asks for the first of its body. */
+  /**
+   * Takes an answer whose head has come, and asks for the first of its body.
+   *
+   * @param demand asks the other side for more chunks
+   * @param due whether the answer can be held no longer
+   */
   ArrivingAnswer(
       ResponseHead head,
       BodyReceiver body,
       IntConsumer demand,
+      BooleanSupplier due,
       Reply<Either<Failure, Answer>> reply) {
     this.head = head;
     this.body = body;
     this.demand = demand;
+    this.due = due;
     this.reply = reply;
+    if (due.getAsBoolean()) {
+      handOn();
+      return;
+    }
     ask();
   }
 
@@ -53,7 +66,7 @@
     if (handedOn) {
       return;
     }
-    if (body.receivedBytes() > MAX_HELD_BYTES) {
+    if (body.receivedBytes() > MAX_HELD_BYTES || due.getAsBoolean()) {
       handOn();
       return;
     }
--- a/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/OpenedStreams.java
@@ -4,25 +4,31 @@
 import io.vavr.collection.Map;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.peer.PeerMessage;
 import org.clementinepost.api.peer.StreamMessage;
 import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.node.exchange.Answer;
 
 /** The streams of the side that opens them: requests out, answers in. */
 final class OpenedStreams implements StreamRole {
+  /** An answer that comes within this time of its deadline is not held until it is whole. */
+  private static final long LAST_MOMENT_MILLIS = 100;
+
   /** One request that has not ended; its answer is there once the answer's head has come. */
   private record Opened(
       boolean repeatable,
+      long lastMomentNanos,
       BodySender request,
       Option<ArrivingAnswer> answer,
       Reply<Either<Failure, Answer>> reply) {
 
     Opened answeredBy(ArrivingAnswer arriving) {
-      return new Opened(repeatable, request, Option.some(arriving), reply);
+      return new Opened(repeatable, lastMomentNanos, request, Option.some(arriving), reply);
     }
 
     boolean isHandedOn() {
@@ -32,18 +38,27 @@
 
   private final Address<ConnectionMessage> self;
   private final Consumer<PeerMessage> wire;
+  private final MonotonicClock clock;
   private Map<Long, Opened> streams = HashMap.empty();
   private long nextStreamId = 1;
 
-  OpenedStreams(Address<ConnectionMessage> self, Consumer<PeerMessage> wire) {
+  OpenedStreams(Address<ConnectionMessage> self, Consumer<PeerMessage> wire, MonotonicClock clock) {
     this.self = self;
     this.wire = wire;
+    this.clock = clock;
   }
 
   private void open(ConnectionMessage.Open open) {
     long streamId = nextStreamId++;
     BodySender request = new BodySender(streamId, open.body(), self);
-    Opened opened = new Opened(open.head().idempotent(), request, Option.none(), open.reply());
+    long holdMillis = open.head().timeoutMillis() - LAST_MOMENT_MILLIS;
+    Opened opened =
+        new Opened(
+            open.head().idempotent(),
+            clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(holdMillis),
+            request,
+            Option.none(),
+            open.reply());
     streams = streams.put(streamId, opened);
     wire.accept(new StreamMessage.Open(streamId, open.server(), open.head()));
     open.cancelled()
@@ -93,6 +108,7 @@
             answered.head(),
             new BodyReceiver(streamId, self),
             chunks -> wire.accept(new StreamMessage.Demand(streamId, chunks)),
+            () -> clock.nowNanos() >= opened.lastMomentNanos(),
             opened.reply());
     streams = streams.put(streamId, opened.answeredBy(arriving));
   }
--- a/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerConnection.java
@@ -79,7 +79,7 @@
     this.transport = transport.apply(context.self());
     this.streams =
         opener
-            ? new OpenedStreams(context.self(), this::write)
+            ? new OpenedStreams(context.self(), this::write, context.clock())
             : new ServedStreams(
                 context.self(),
                 this::write,
--- a/node/src/test/java/org/clementinepost/node/peer/PeerConnectionTest.java
+++ b/node/src/test/java/org/clementinepost/node/peer/PeerConnectionTest.java
@@ -251,4 +251,21 @@
     assertThatThrownBy(() -> bodyBytes(onceOnly.get(0).get()).block())
         .isInstanceOf(BodyFailedException.class);
   }
+
+  @Test
+  void anAnswerThatBeginsRightBeforeItsDeadlineIsPassedOnWhileItComes() {
+    for (int second = 0; second < 9; second++) {
+      pass(1_000);
+      hear();
+    }
+    pass(950);
+    hear();
+    hearAnswer(ONCE_ONLY_STREAM, PIECE_BYTES);
+    assertThat(onceOnly).singleElement().matches(Either::isRight);
+
+    pass(100);
+    hear(new StreamMessage.End(ONCE_ONLY_STREAM, PIECE_BYTES));
+
+    assertThat(bodyBytes(onceOnly.get(0).get()).block()).isEqualTo(PIECE_BYTES);
+  }
 }
