A test that a host answers another node's request beyond its own farewell

RowStoreNodeTest.aRequestOfAnotherNodeIsAnsweredBeyondItsHostsFarewell, beside the one of the node that took the request.

--- a/node/src/test/java/org/clementinepost/node/RowStoreNodeTest.java
+++ b/node/src/test/java/org/clementinepost/node/RowStoreNodeTest.java
@@ -245,21 +245,32 @@
     }
   }
 
-  @Test
-  void aRequestInHandAtAnotherHostIsAnsweredBeyondTheFarewell() {
+  /** The status of a request that is at its backend server when a node's farewell ends. */
+  private int answeredBeyondTheFarewellOf(Node node) {
     NetworkAddress ingress =
-        new NetworkAddress("127.0.0.1", first.ports().block(PATIENCE).ingress());
+        new NetworkAddress("127.0.0.1", node.ports().block(PATIENCE).ingress());
     int before = afar.runs();
     Runnable release = afar.hold();
     Mono<Integer> status = beside(asking("/far/x", "k"));
     await(() -> afar.runs() > before);
 
-    Mono<Void> stopped = beside(Mono.fromRunnable(first::stop));
+    Mono<Void> stopped = beside(Mono.fromRunnable(node::stop));
     await(() -> !takesConnections(ingress));
     release.run();
 
-    assertThat(status.block(PATIENCE)).isEqualTo(OK);
+    int answered = status.block(PATIENCE);
     stopped.block(PATIENCE);
+    return answered;
+  }
+
+  @Test
+  void aRequestInHandAtAnotherHostIsAnsweredBeyondTheFarewell() {
+    assertThat(answeredBeyondTheFarewellOf(first)).isEqualTo(OK);
+  }
+
+  @Test
+  void aRequestOfAnotherNodeIsAnsweredBeyondItsHostsFarewell() {
+    assertThat(answeredBeyondTheFarewellOf(second)).isEqualTo(OK);
   }
 
   @Test
