A server at work on a long request is not spared for ever

Two tests of HostPolicy change. One asked that a server at work refuse a request 1.5 s after its last: it does until 1.499 s and takes it at 1.5 s, which aServerAtWorkOnALongRequestIsNotSparedForLong asks for. In the other, a good answer stops speaking for a server after 1.5 s; it now has a request in between, so that rest does not let the late one in.

--- a/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
@@ -80,9 +80,9 @@
     return nowNanos < coldUntilNanos;
   }
 
-  /** Whether it has nothing to do and has been sent no request for a while. */
+  /** Whether it has been sent no request for a while. */
   boolean hasRested(long restNanos, long nowNanos) {
-    return busySlots == 0 && nowNanos - lastAdmittedNanos >= restNanos;
+    return nowNanos - lastAdmittedNanos >= restNanos;
   }
 
   int admittedWithin(long windowNanos, long nowNanos) {
--- a/policy/src/main/java/org/clementinepost/policy/host/SparingPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/SparingPolicy.java
@@ -14,11 +14,11 @@
  * servers stay in use that way.
  */
 final class SparingPolicy {
-  /** How long a server that failed goes without a request at most, if none comes to try it. */
-  private static final long SUSPECTED_REST_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  /** How long a server goes without a request at most, whatever is held against it. */
+  private static final long LONGEST_REST_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /** How long a server without a good answer of late goes without a request at most. */
-  private static final long UNPROVEN_REST_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+  /** How long an idle server without a good answer of late goes without a request at most. */
+  private static final long IDLE_UNPROVEN_REST_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
   private SparingPolicy() {}
 
@@ -43,7 +43,7 @@
       return false;
     }
     boolean trial =
-        admit.head().idempotent() || server.hasRested(SUSPECTED_REST_NANOS, admit.nowNanos());
+        admit.head().idempotent() || server.hasRested(LONGEST_REST_NANOS, admit.nowNanos());
     return !trial || !server.health().trialDue(admit.nowNanos());
   }
 
@@ -60,7 +60,12 @@
         && insistence(admit) == Insistence.FREE_SLOT
         && admit.head().handling().targetMillis() > 0
         && !server.health().proven(admit.nowNanos())
-        && !server.hasRested(UNPROVEN_REST_NANOS, admit.nowNanos());
+        && !server.hasRested(unprovenRestNanos(server), admit.nowNanos());
+  }
+
+  /** A server at work may soon be proven by its answer, which is not awaited for ever. */
+  private static long unprovenRestNanos(HostedServer server) {
+    return server.busySlots() == 0 ? IDLE_UNPROVEN_REST_NANOS : LONGEST_REST_NANOS;
   }
 
   private static Insistence insistence(HostEvent.Admit admit) {
--- a/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -252,12 +252,13 @@
     admit("early", false, 1, Insistence.FREE_SLOT);
     nowMillis += 1;
     admit("trial", false, 1, Insistence.FREE_SLOT);
-    nowMillis += 1_500;
+    nowMillis += 1_499;
     admit("beside", false, 1, Insistence.FREE_SLOT);
     assertThat(answers)
         .containsExactly(
             "a ok", "early BACKEND_SERVER_FAILING", "trial ok", "beside BACKEND_SERVER_FAILING");
     ended(2, 200);
+    nowMillis += 1;
     admit("next", false, 1, Insistence.FREE_SLOT);
     assertThat(answers).endsWith("next ok");
   }
@@ -301,7 +302,9 @@
     ended(1, 200);
     admit("proven", false, 1, Insistence.FREE_SLOT);
     assertThat(answers).endsWith("proven ok");
-    nowMillis += 1_500;
+    nowMillis += 1_400;
+    admit("waits again", false, 1, Insistence.WAITS);
+    nowMillis += 100;
     admit("late", false, 1, Insistence.FREE_SLOT);
     assertThat(answers).endsWith("late BACKEND_SERVER_UNPROVEN");
   }
@@ -323,6 +326,20 @@
     assertThat(answers).endsWith("next ok");
   }
 
+  @Test
+  void aServerAtWorkOnALongRequestIsNotSparedForLong() {
+    announce();
+    admit("fails", true, 1, Insistence.FREE_SLOT);
+    ended(1, 500);
+    nowMillis += 1_500;
+    admit("long", false, 1, Insistence.FREE_SLOT);
+    nowMillis += 1_499;
+    admit("early", false, 1, Insistence.FREE_SLOT);
+    nowMillis += 1;
+    admit("beside", false, 1, Insistence.FREE_SLOT);
+    assertThat(answers).endsWith("long ok", "early BACKEND_SERVER_FAILING", "beside ok");
+  }
+
   @Test
   void aFailingServerIsBetterThanNone() {
     announce();
