--- a/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
@@ -4,7 +4,6 @@
 import io.vavr.Tuple;
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
-import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.concurrent.TimeUnit;
@@ -51,23 +50,17 @@
   private static final long OVERDUE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final long GIVE_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
-  /** A question that came while the seat was on its way back. */
-  private record HeldAsk(NodeId from, QuotaPeerMessage.Ask ask) {}
-
-  private static final int MAX_HELD_ASKS = 1_024;
-
   private final TaskContext<QuotaServiceMessage> context;
   private final Member self;
   private final SuspendProofClock cautious;
   private final Seating seating;
+  private final KeeperDesk desk;
   private final EmergencyAllowance allowance;
   private Snapshot snapshot = Snapshot.empty();
   private int nodes = 1;
-  private QuotaBuckets kept;
   private QuotaBuckets emergency;
   private Map<Long, PendingAsk> pending = LinkedHashMap.empty();
   private long lastAsk;
-  private Vector<HeldAsk> heldBack = Vector.empty();
 
   private QuotaService(
       TaskContext<QuotaServiceMessage> context,
@@ -79,7 +72,7 @@
     this.allowance = allowance;
     this.cautious = new SuspendProofClock(context.clock());
     this.seating = new Seating(context, self, store, cautious, this::seated, this::unseated);
-    this.kept = QuotaBuckets.emptyAt(context.clock().nowNanos());
+    this.desk = new KeeperDesk(seating, context.clock(), this::send);
     this.emergency = QuotaBuckets.emptyAt(context.clock().nowNanos());
     ConfigurationService.subscribe(context, QuotaServiceMessage.Configured::new);
     lookUpLater();
@@ -125,6 +118,7 @@
     }
     if (message instanceof QuotaServiceMessage.Configured configured) {
       snapshot = configured.snapshot();
+      desk.configured(snapshot);
       return;
     }
     if (message instanceof QuotaServiceMessage.Members members) {
@@ -185,19 +179,13 @@
 
   private void takeKept(
       Customer customer, RequestHead head, Reply<Either<Failure, RequestHead>> reply) {
-    if (!takeKept(customer)) {
+    if (!desk.take(customer)) {
       refuse(head, reply, ResultCode.QUOTA_EXCEEDED);
       return;
     }
     reply.send(Either.right(head));
   }
 
-  private boolean takeKept(Customer customer) {
-    Option<QuotaBuckets> after = kept.take(customer, context.clock().nowNanos());
-    after.forEach(next -> kept = next);
-    return after.isDefined();
-  }
-
   private static void refuse(
       RequestHead head, Reply<Either<Failure, RequestHead>> reply, ResultCode code) {
     logger.atInfo().log(
@@ -219,7 +207,7 @@
 
   private void fromPeer(NodeId from, QuotaPeerMessage message) {
     if (message instanceof QuotaPeerMessage.Ask ask) {
-      asked(from, ask);
+      desk.asked(from, ask);
       return;
     }
     QuotaPeerMessage.Answer answer = (QuotaPeerMessage.Answer) message;
@@ -233,22 +221,6 @@
     waiting.forEach(known -> settle(known, answer.granted()));
   }
 
-  /** Whoever is told that the seat is given back must find it so in the store. */
-  private void asked(NodeId from, QuotaPeerMessage.Ask ask) {
-    if (seating.isHandingOver() && heldBack.size() < MAX_HELD_ASKS) {
-      heldBack = heldBack.append(new HeldAsk(from, ask));
-      return;
-    }
-    send(from, answer(ask));
-  }
-
-  private void answerHeldBack() {
-    if (!seating.isHandingOver() && !heldBack.isEmpty()) {
-      heldBack.forEach(held -> send(held.from(), answer(held.ask())));
-      heldBack = Vector.empty();
-    }
-  }
-
   /** Whoever has become the keeper since is asked instead. */
   private void notKeeper(NodeId asked, long ask) {
     Option<PendingAsk> waiting = pending.get(ask).map(PendingAsk::asNotAsked);
@@ -268,20 +240,6 @@
     refuse(waiting.head(), waiting.reply(), ResultCode.QUOTA_EXCEEDED);
   }
 
-  private QuotaPeerMessage answer(QuotaPeerMessage.Ask ask) {
-    if (!seating.isKeeper()) {
-      return new QuotaPeerMessage.Answer(ask.ask(), false, false, 0);
-    }
-    Option<Customer> customer = snapshot.customers().get(ask.customer()).filter(Customer::limited);
-    if (customer.isEmpty()) {
-      return new QuotaPeerMessage.Answer(ask.ask(), true, true, 0);
-    }
-    return takeKept(customer.get())
-        ? new QuotaPeerMessage.Answer(ask.ask(), true, true, 0)
-        : new QuotaPeerMessage.Answer(
-            ask.ask(), true, false, kept.waitMillis(customer.get(), context.clock().nowNanos()));
-  }
-
   private void sweepSoon() {
     context.sendAfter(SWEEP_TIMER, SWEEP_MILLIS, new QuotaServiceMessage.Sweep());
   }
@@ -332,7 +290,7 @@
           .filterValues(waiting -> !waiting.asked())
           .forEach((ask, waiting) -> ask(ask, waiting));
     }
-    answerHeldBack();
+    desk.answerHeld();
   }
 
   private void unseated() {
@@ -342,8 +300,7 @@
 
   private void seated(boolean first) {
     logger.atInfo().log("event=quota-keeper node=%s first=%s", self.node(), first);
-    long nowNanos = context.clock().nowNanos();
-    kept = first ? QuotaBuckets.fullAt(nowNanos) : QuotaBuckets.emptyAt(nowNanos);
+    desk.open(first);
     context.sendEvery(
         NAME.text(), RENEWAL_LOOK_MILLIS, RENEWAL_LOOK_MILLIS, new QuotaServiceMessage.Tick());
     Map<Long, PendingAsk> own = pending;
