Count the streams in hand at a stop by changes

Found by review: each word of a connection summed over all of them and was passed on though nothing had changed, which at thousands of nodes loads the task that carries the traffic; and the word of a connection that had ended meanwhile counted it again, so that the stop waited until its last moment. A class of its own keeps a running sum, tells changes alone, and passes over connections that have ended.

--- a/node/src/main/java/org/clementinepost/node/peer/PeerService.java
+++ b/node/src/main/java/org/clementinepost/node/peer/PeerService.java
@@ -9,7 +9,6 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.function.Function;
-import java.util.function.IntConsumer;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
@@ -67,8 +66,7 @@
   private Map<Address<ConnectionMessage>, SpawnedTask<ConnectionMessage>> accepted =
       HashMap.empty();
   private Map<NodeId, Address<ConnectionMessage>> greeted = HashMap.empty();
-  private Map<Address<ConnectionMessage>, Integer> inHand = HashMap.empty();
-  private Option<IntConsumer> drained = Option.none();
+  private final StreamsInHand inHand = new StreamsInHand();
 
   private PeerService(
       TaskContext<PeerServiceMessage> context, PeerListener listener, ControlReceiver control) {
@@ -129,14 +127,13 @@
 
   private void connectionChanged(PeerServiceMessage message) {
     if (message instanceof PeerServiceMessage.Drain drain) {
-      drained = Option.some(drain.inHand());
+      inHand.tell(drain.inHand());
       accepted.values().forEach(this::drain);
-      tellInHand();
+      inHand.tellIfChanged();
       return;
     }
     if (message instanceof PeerServiceMessage.InHand told) {
-      inHand = inHand.put(told.connection(), told.streams());
-      tellInHand();
+      inHand.changed(told.connection(), told.streams());
       return;
     }
     if (message instanceof PeerServiceMessage.Dialed result) {
@@ -160,23 +157,20 @@
 
   private void accepted(SpawnedTask<ConnectionMessage> task) {
     accepted = accepted.put(task.address(), task);
-    if (drained.isDefined()) {
+    if (inHand.isTold()) {
       drain(task);
+      inHand.tellIfChanged();
     }
   }
 
   private void drain(SpawnedTask<ConnectionMessage> task) {
     Address<ConnectionMessage> connection = task.address();
-    inHand = inHand.put(connection, 1);
+    inHand.unknown(connection);
     connection.send(
         new ConnectionMessage.Drain(
             streams -> context.self().send(new PeerServiceMessage.InHand(connection, streams))));
   }
 
-  private void tellInHand() {
-    drained.forEach(told -> told.accept(inHand.values().sum().intValue()));
-  }
-
   private Option<Member> address(NodeId node) {
     return members.get(node).orElse(() -> kept.member(node));
   }
@@ -382,8 +376,7 @@
   private void ended(Address<ConnectionMessage> connection) {
     accepted.get(connection).forEach(task -> task.stop().dispose());
     accepted = accepted.remove(connection);
-    inHand = inHand.remove(connection);
-    tellInHand();
+    inHand.ended(connection);
     doubted.get(connection).forEach(task -> task.stop().dispose());
     doubted = doubted.remove(connection);
     greeted = greeted.filterValues(address -> address != connection);
