Log how many servers a placement could choose among and how many are ejected

placement tells known, ejected and eligible, ejection and readmission the number of ejected servers of the service. The preference for the own failure domain moves from the chooser into a policy of its own.

--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/BaselinePolicy.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/BaselinePolicy.java
@@ -9,6 +9,7 @@
 import org.clementinepost.kernel.Decision;
 import org.clementinepost.kernel.Step;
 import org.clementinepost.policy.routing.Placement;
+import org.clementinepost.policy.routing.PlacementBasis;
 import org.clementinepost.policy.routing.RoutingEffect;
 import org.clementinepost.policy.routing.RoutingEvent;
 
@@ -67,7 +68,8 @@
       Failure failure = Failure.of(ResultCode.NO_BACKEND_SERVER);
       return Step.to(
           state,
-          new RoutingEffect.Placed(place.head(), Either.left(failure), "refused", place.reply()));
+          new RoutingEffect.Placed(
+              place.head(), Either.left(failure), basis(state, candidates), place.reply()));
     }
     Endpoint chosen = chooser.choose(state, candidates, place.random());
     BaselineState next = state.withOutstandingChange(chosen, 1);
@@ -75,6 +77,13 @@
         new BaselineState(
             next.endpoints(), next.outstandingRequests(), state.roundRobinIndex() + 1),
         new RoutingEffect.Placed(
-            place.head(), Either.right(new Placement(chosen)), "baseline", place.reply()));
+            place.head(),
+            Either.right(new Placement(chosen)),
+            basis(state, candidates),
+            place.reply()));
+  }
+
+  private static PlacementBasis basis(BaselineState state, Vector<Endpoint> candidates) {
+    return new PlacementBasis("baseline", state.endpoints().size(), 0, candidates.size());
   }
 }
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
@@ -104,19 +104,23 @@
     }
     if (effect instanceof RoutingEffect.Ejected ejected) {
       logger.atWarning().log(
-          "event=ejection service=%s server=%s host=%s reason=%s strikes=%d backoffMillis=%d",
+          "event=ejection service=%s server=%s host=%s reason=%s strikes=%d backoffMillis=%d"
+              + " ejected=%d",
           ejected.endpoint().service(),
           ejected.endpoint().server(),
           ejected.endpoint().host(),
           ejected.reason().label(),
           ejected.consecutiveEjections(),
-          (ejected.firstTrialNanos() - context.clock().nowNanos()) / 1_000_000);
+          (ejected.firstTrialNanos() - context.clock().nowNanos()) / 1_000_000,
+          ejected.ejectedServers());
       return;
     }
     RoutingEffect.Readmitted readmitted = (RoutingEffect.Readmitted) effect;
     logger.atInfo().log(
-        "event=readmission service=%s server=%s",
-        readmitted.endpoint().service(), readmitted.endpoint().server());
+        "event=readmission service=%s server=%s ejected=%d",
+        readmitted.endpoint().service(),
+        readmitted.endpoint().server(),
+        readmitted.ejectedServers());
   }
 
   private static void notifyIngresses(
@@ -143,7 +147,8 @@
 
   private static void logPlacement(RoutingEffect.Placed placed) {
     logger.atInfo().log(
-        "event=placement request=%s attempt=%d service=%s server=%s reason=%s",
+        "event=placement request=%s attempt=%d service=%s server=%s reason=%s known=%d ejected=%d"
+            + " eligible=%d",
         placed.head().requestId(),
         placed.head().attempt(),
         placed.head().service(),
@@ -152,6 +157,9 @@
             .fold(
                 failure -> "none/" + failure.code().number(),
                 placement -> placement.endpoint().server().value()),
-        placed.reason());
+        placed.basis().reason(),
+        placed.basis().known(),
+        placed.basis().ejected(),
+        placed.basis().eligible());
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/OutlierDetectionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/OutlierDetectionPolicy.java
@@ -154,11 +154,10 @@
       long nowNanos) {
     boolean readmitted = service.ejected().contains(server.endpoint());
     if (readmitted) {
+      ServiceState regrouped = service.withEndpointsRegrouped();
       return Step.to(
-          state
-              .with(id, service.withEndpointsRegrouped())
-              .with(server.endpoint().host(), Evidence.NONE),
-          new RoutingEffect.Readmitted(server.endpoint()));
+          state.with(id, regrouped).with(server.endpoint().host(), Evidence.NONE),
+          new RoutingEffect.Readmitted(server.endpoint(), regrouped.ejected().size()));
     }
     Option<EjectionReason> reason =
         EjectionPolicy.ejectionReason(
@@ -169,13 +168,15 @@
     EjectionState.Ejected ejected =
         EjectionState.Ejected.withBackoff(
             inUse.consecutiveEjectionsAt(nowNanos), reason.get(), nowNanos);
+    ServiceState next = service.with(server, ejected);
     return Step.to(
-        state.with(id, service.with(server, ejected)),
+        state.with(id, next),
         new RoutingEffect.Ejected(
             server.endpoint(),
             reason.get(),
             ejected.consecutiveEjections(),
-            ejected.nextTrialNanos()));
+            ejected.nextTrialNanos(),
+            next.ejected().size()));
   }
 
   /** Marks overdue requests, drops expired avoidances and ejects servers where that follows. */
--- a/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
@@ -13,12 +13,19 @@
  * Chooses the backend server of an attempt.
  *
  * <p>A suitable request becomes the trial request of an ejected server if one is due. Otherwise the
- * {@link EndpointChooser} chooses among the endpoints in use.
+ * {@link EndpointChooser} chooses among the endpoints in use, those of the own failure domain
+ * first.
  */
 final class PlacementPolicy {
+  private static final String TRIAL_REASON = "trial";
+  private static final String CHOSEN_REASON = "less-loaded-of-two";
+  private static final String REFUSED_REASON = "refused";
+
+  private final DomainPreference domainPreference;
   private final EndpointChooser chooser;
 
-  PlacementPolicy(EndpointChooser chooser) {
+  PlacementPolicy(DomainPreference domainPreference, EndpointChooser chooser) {
+    this.domainPreference = domainPreference;
     this.chooser = chooser;
   }
 
@@ -30,33 +37,33 @@
     }
     Option<EndpointState> trial = serverDueForTrial(service, place);
     if (trial.isDefined()) {
-      return placeOn(state, service, trial.get(), "trial", place);
+      return placeOn(state, trial.get(), PlacementBasis.of(service, TRIAL_REASON, 1), place);
     }
     Vector<Endpoint> candidates = candidates(service, place);
     if (candidates.isEmpty()) {
       return refuse(
           state, place, retry ? ResultCode.RETRIES_EXHAUSTED : ResultCode.NO_BACKEND_SERVER);
     }
-    Endpoint chosen = chooser.choose(service, candidates, place.random(), place.nowNanos());
+    Vector<Endpoint> eligible = domainPreference.preferred(candidates);
+    Endpoint chosen = chooser.choose(service, eligible, place.random(), place.nowNanos());
     EndpointState server = service.server(chosen.server()).get();
-    return placeOn(state, service, server, "less-loaded-of-two", place);
+    return placeOn(
+        state, server, PlacementBasis.of(service, CHOSEN_REASON, eligible.size()), place);
   }
 
   private static Step<RoutingState, RoutingEffect> refuse(
       RoutingState state, RoutingEvent.Place place, ResultCode code) {
     Failure failure = Failure.of(code, place.head().service().value());
+    PlacementBasis basis =
+        PlacementBasis.of(state.service(place.head().service()), REFUSED_REASON, 0);
     return Step.to(
-        state,
-        new RoutingEffect.Placed(place.head(), Either.left(failure), "refused", place.reply()));
+        state, new RoutingEffect.Placed(place.head(), Either.left(failure), basis, place.reply()));
   }
 
   private static Step<RoutingState, RoutingEffect> placeOn(
-      RoutingState state,
-      ServiceState service,
-      EndpointState chosen,
-      String reason,
-      RoutingEvent.Place place) {
+      RoutingState state, EndpointState chosen, PlacementBasis basis, RoutingEvent.Place place) {
     RequestHead head = place.head();
+    ServiceState service = state.service(head.service());
     boolean retry = head.attempt() > 1;
     ServiceState next =
         service
@@ -65,7 +72,7 @@
     Placement placement = new Placement(chosen.endpoint());
     return Step.to(
         state.with(head.service(), next),
-        new RoutingEffect.Placed(head, Either.right(placement), reason, place.reply()));
+        new RoutingEffect.Placed(head, Either.right(placement), basis, place.reply()));
   }
 
   /**
--- a/policy/src/main/java/org/clementinepost/policy/routing/PowerOfTwoChooser.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/PowerOfTwoChooser.java
@@ -1,31 +1,22 @@
 package org.clementinepost.policy.routing;
 
 import io.vavr.collection.Vector;
-import io.vavr.control.Option;
 import org.clementinepost.api.Endpoint;
-import org.clementinepost.api.FailureDomainId;
 
 /**
  * Chooses the less loaded of two endpoints drawn at random (power of two choices).
  *
  * <p>This balances load nearly as well as comparing all endpoints, and keeps the ingress nodes from
- * all choosing the same idle backend server at once. Endpoints in the failure domain of this node
- * are preferred while there are any: a server that refused a request as busy is avoided, so those
- * that remain may have a free slot. A suspected server counts as more loaded. A server that was
- * re-admitted recently is skipped at random, so that its load ramps up.
- *
- * @param ownDomain the failure domain of this node
+ * all choosing the same idle backend server at once. A suspected server counts as more loaded. A
+ * server that was re-admitted recently is skipped at random, so that its load ramps up.
  */
-record PowerOfTwoChooser(Option<FailureDomainId> ownDomain) implements EndpointChooser {
+final class PowerOfTwoChooser implements EndpointChooser {
   private static final int SUSPECT_PENALTY_REQUESTS = 4;
   private static final int RAMP_RANDOM_BITS = 20;
 
   @Override
   public Endpoint choose(
-      ServiceState service, Vector<Endpoint> endpoints, long random, long nowNanos) {
-    Vector<Endpoint> inOwnDomain =
-        endpoints.filter(endpoint -> ownDomain.contains(endpoint.domain()));
-    Vector<Endpoint> candidates = inOwnDomain.isEmpty() ? endpoints : inOwnDomain;
+      ServiceState service, Vector<Endpoint> candidates, long random, long nowNanos) {
     int size = candidates.size();
     if (size == 1) {
       return candidates.head();
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingEffect.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingEffect.java
@@ -18,13 +18,13 @@
    *
    * @param head the request, at the attempt that was placed
    * @param result the chosen endpoint or the failure
-   * @param reason the value of the log field {@code reason}
+   * @param basis what the choice was based on
    * @param reply receives the result
    */
   record Placed(
       RequestHead head,
       Either<Failure, Placement> result,
-      String reason,
+      PlacementBasis basis,
       Reply<Either<Failure, Placement>> reply)
       implements RoutingEffect {}
 
@@ -35,13 +35,24 @@
    * @param reason why it was ejected
    * @param consecutiveEjections the number of ejections in a row, this one included
    * @param firstTrialNanos when the first trial request may be sent
+   * @param ejectedServers the number of ejected servers of the service at this node, this one
+   *     included
    */
   record Ejected(
-      Endpoint endpoint, EjectionReason reason, int consecutiveEjections, long firstTrialNanos)
+      Endpoint endpoint,
+      EjectionReason reason,
+      int consecutiveEjections,
+      long firstTrialNanos,
+      int ejectedServers)
       implements RoutingEffect {}
 
-  /** Reports that a backend server has been re-admitted after successful trial requests. */
-  record Readmitted(Endpoint endpoint) implements RoutingEffect {}
+  /**
+   * Reports that a backend server has been re-admitted after successful trial requests.
+   *
+   * @param endpoint the backend server
+   * @param ejectedServers the number of servers of the service that remain ejected at this node
+   */
+  record Readmitted(Endpoint endpoint, int ejectedServers) implements RoutingEffect {}
 
   /** Sends a host's new unhealthy report on its backend server to ingress nodes. */
   record NotifyIngresses(
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
@@ -19,7 +19,8 @@
   private final PlacementPolicy placement;
 
   private RoutingPolicy(Builder builder) {
-    this.placement = new PlacementPolicy(new PowerOfTwoChooser(builder.domain));
+    this.placement =
+        new PlacementPolicy(new DomainPreference(builder.domain), new PowerOfTwoChooser());
   }
 
   /** Returns a builder without a failure domain. */
