End an ejection that no request can try

Cause: an ejected server came back by successful trial requests alone, and only an idempotent first attempt without a body that the ingress node itself sends is a trial. A node that sends few or none to the service kept the server ejected for the rest of its life, although one report of the host had ejected it at dozens of nodes at once. Class: a way back that depends on an event that need not come.

Excluded: refusals of the hosts (no requests were placed on the unused servers), endpoints of a domain that is out (they are withdrawn).

Change: an ejection also ends 1.5 s after a trial was due. The share of the server ramps up, and the next ejection lasts longer, as after a trial. The simulation of ingress nodes and hosts now carries the hosts' reports, without which nothing was ever ejected in it.

--- a/policy/src/main/java/org/clementinepost/policy/routing/EjectionState.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/EjectionState.java
@@ -40,6 +40,9 @@
   /**
    * The server gets no requests, and after a backoff only trial requests.
    *
+   * <p>A node may have no request that can serve as a trial, so the ejection also ends by itself a
+   * while after a trial was due.
+   *
    * @param reason why the server was ejected
    * @param consecutiveEjections the ejections in a row, this one included
    * @param nextTrialNanos when the next trial request may be sent
@@ -52,6 +55,7 @@
     private static final int MAX_BACKOFF_DOUBLINGS = 2;
     private static final long TRIAL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final int TRIALS_FOR_READMISSION = 2;
+    private static final long MAX_WAIT_FOR_TRIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
     /** Returns an ejection whose backoff doubles with the ejections before it, up to a limit. */
     static Ejected withBackoff(int previousEjections, EjectionReason reason, long nowNanos) {
@@ -63,6 +67,16 @@
       return nowNanos >= nextTrialNanos;
     }
 
+    /** Whether no trial request has ended for so long that the ejection ends without one. */
+    boolean isExpired(long nowNanos) {
+      return nowNanos - nextTrialNanos >= MAX_WAIT_FOR_TRIAL_NANOS;
+    }
+
+    /** Returns the state in which the server is in use again, with a share that ramps up. */
+    InUse readmitted(long nowNanos) {
+      return new InUse(consecutiveEjections, nowNanos, true);
+    }
+
     /**
      * Returns the state after a trial request: enough successes re-admit the server, and a failure
      * starts the next backoff.
@@ -72,7 +86,7 @@
         return withBackoff(consecutiveEjections, reason, nowNanos);
       }
       if (successfulTrials + 1 >= TRIALS_FOR_READMISSION) {
-        return new InUse(consecutiveEjections, nowNanos, true);
+        return readmitted(nowNanos);
       }
       return new Ejected(
           reason, consecutiveEjections, nowNanos + TRIAL_INTERVAL_NANOS, successfulTrials + 1);
--- a/policy/src/main/java/org/clementinepost/policy/routing/OutlierDetectionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/OutlierDetectionPolicy.java
@@ -179,7 +179,10 @@
             next.ejected().size()));
   }
 
-  /** Marks overdue requests, drops expired avoidances and ejects servers where that follows. */
+  /**
+   * Marks overdue requests, drops expired avoidances, ejects servers where that follows, and ends
+   * expired ejections.
+   */
   static Step<RoutingState, RoutingEffect> onTick(RoutingState state, long nowNanos) {
     RoutingState next = state;
     Vector<RoutingEffect> effects = Vector.empty();
@@ -203,11 +206,15 @@
     Vector<RoutingEffect> effects = Vector.empty();
     for (EndpointState server : service.servers().values()) {
       boolean idle =
-          server.outstanding().onTimePlacedNanos().isEmpty() && server.evidence().isNone();
+          server.isInUse()
+              && server.outstanding().onTimePlacedNanos().isEmpty()
+              && server.evidence().isNone();
       if (idle) {
         continue;
       }
-      EndpointState updated = withOverdueRequests(server, service.baseline(), nowNanos);
+      EndpointState updated =
+          withoutExpiredEjection(
+              withOverdueRequests(server, service.baseline(), nowNanos), nowNanos);
       next = next.with(id, next.service(id).with(updated));
       Step<RoutingState, RoutingEffect> step = updateEjection(next, id, updated, nowNanos);
       next = step.state();
@@ -216,6 +223,13 @@
     return Step.to(next, effects);
   }
 
+  private static EndpointState withoutExpiredEjection(EndpointState server, long nowNanos) {
+    return server.ejectionState() instanceof EjectionState.Ejected ejected
+            && ejected.isExpired(nowNanos)
+        ? server.with(ejected.readmitted(nowNanos))
+        : server;
+  }
+
   private static EndpointState withOverdueRequests(
       EndpointState server, ServiceBaseline baseline, long nowNanos) {
     OutstandingRequests outstanding =
--- a/policy/src/test/java/org/clementinepost/policy/floor/ServiceFloorTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/floor/ServiceFloorTest.java
@@ -19,6 +19,12 @@
   private static final long SIMULATED_MILLIS = 20_000;
   private static final int INGRESS_NODES = 102;
 
+  private static final ServiceSimulation.SlowPhase SLOW_PHASE =
+      new ServiceSimulation.SlowPhase(0.5, 6, 20_000, 30_000);
+
+  /** The time after a disturbance at which a server counts as healthy again. */
+  private static final long HEALTHY_AFTER_MILLIS = 6_000;
+
   /** Returns a scenario in which nearly a third of the servers at a time fail 90% of requests. */
   private static ServiceSimulation.Scenario scenario(
       int servers, double nonIdempotentPerSecond, double idempotentPerSecond) {
@@ -31,7 +37,8 @@
         160,
         0.3,
         9_000,
-        0.9);
+        0.9,
+        ServiceSimulation.SlowPhase.NONE);
   }
 
   private static double lowestHealthyServerUse(ServiceSimulation.Scenario scenario, long seed) {
@@ -60,4 +67,17 @@
     assertThat(lowestHealthyServerUse(scenario(13, 23, 0), seed))
         .isGreaterThanOrEqualTo(FLOOR_FRACTION);
   }
+
+  /** Guards against ejections that outlast the slowness that caused them. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void keepsFloorAfterSlownessHasEnded(long seed) {
+    ServiceSimulation simulation =
+        new ServiceSimulation(scenario(36, 90, 0).withSlowPhase(SLOW_PHASE), seed);
+    simulation.run(SLOW_PHASE.untilMillis() + SIMULATED_MILLIS);
+    assertThat(
+            simulation.lowestHealthyServerUse(
+                SLOW_PHASE.untilMillis() + HEALTHY_AFTER_MILLIS, WINDOW_MILLIS, WINDOW_STEP_MILLIS))
+        .isGreaterThanOrEqualTo(FLOOR_FRACTION);
+  }
 }
--- a/policy/src/test/java/org/clementinepost/policy/floor/ServiceSimulation.java
+++ b/policy/src/test/java/org/clementinepost/policy/floor/ServiceSimulation.java
@@ -52,6 +52,7 @@
 final class ServiceSimulation {
   private static final ServiceId SERVICE = new ServiceId("office");
   private static final String SERVER = "server-";
+  private static final String NODE = "node-";
   private static final long NETWORK_MILLIS = 2;
   private static final long TICK_INTERVAL_MILLIS = 50;
   private static final long ERROR_RESPONSE_MILLIS = 2;
@@ -84,6 +85,7 @@
    * @param failingPeriodFraction the fraction of each period during which a server fails
    * @param periodMillis the length of a period
    * @param failingRequestFraction the fraction of requests that fail at a failing server
+   * @param slowPhase when some of the servers are slow
    */
   record Scenario(
       int servers,
@@ -94,7 +96,35 @@
       double idempotentWorkMillis,
       double failingPeriodFraction,
       long periodMillis,
-      double failingRequestFraction) {}
+      double failingRequestFraction,
+      SlowPhase slowPhase) {
+
+    Scenario withSlowPhase(SlowPhase phase) {
+      return new Scenario(
+          servers,
+          ingressNodes,
+          nonIdempotentPerSecond,
+          idempotentPerSecond,
+          nonIdempotentWorkMillis,
+          idempotentWorkMillis,
+          failingPeriodFraction,
+          periodMillis,
+          failingRequestFraction,
+          phase);
+    }
+  }
+
+  /**
+   * A phase in which the first servers of each failure domain work more slowly.
+   *
+   * @param serverFraction the fraction of the servers that are slow
+   * @param workRatio how many times as long a slow server works on a request
+   * @param fromMillis when the phase begins, from the start of the simulation
+   * @param untilMillis when the phase ends, from the start of the simulation
+   */
+  record SlowPhase(double serverFraction, double workRatio, long fromMillis, long untilMillis) {
+    static final SlowPhase NONE = new SlowPhase(0, 1, 0, 0);
+  }
 
   private record ScheduledAction(long millis, long sequence, Runnable action) {}
 
@@ -154,8 +184,15 @@
   }
 
   private static Endpoint endpoint(int number) {
-    return new Endpoint(
-        server(number), SERVICE, new NodeId("node-" + number), domain(number), SLOTS);
+    return new Endpoint(server(number), SERVICE, node(number), domain(number), SLOTS);
+  }
+
+  private static NodeId node(int number) {
+    return new NodeId(NODE + number);
+  }
+
+  private static int number(NodeId node) {
+    return Integer.parseInt(node.value().substring(NODE.length()));
   }
 
   private void announceServers(long sequence) {
@@ -219,6 +256,7 @@
     }
   }
 
+  /** Lets a node decide on an event as an ingress, or as the host of its backend server. */
   private void decideAtIngress(int number, RoutingEvent event) {
     Step<RoutingState, RoutingEffect> step =
         routingPolicies.get(number % DOMAINS).decide(ingressStates.get(number), event);
@@ -227,9 +265,29 @@
       if (effect instanceof RoutingEffect.Placed placed) {
         placed.reply().send(placed.result());
       }
+      if (effect instanceof RoutingEffect.ReplyWithReport withReport) {
+        withReport.reply().send(withReport.report());
+      }
+      if (effect instanceof RoutingEffect.NotifyIngresses notification) {
+        notification.nodes().forEach(node -> sendReport(number, node, notification));
+      }
     }
   }
 
+  private void sendReport(int host, NodeId ingress, RoutingEffect.NotifyIngresses notification) {
+    schedule(
+        NETWORK_MILLIS,
+        () ->
+            decideAtIngress(
+                number(ingress),
+                new RoutingEvent.HostReported(
+                    notification.server(),
+                    notification.service(),
+                    node(host),
+                    notification.report(),
+                    nowNanos())));
+  }
+
   private void scheduleNextCall(double perSecond, boolean idempotent) {
     if (perSecond == 0) {
       return;
@@ -248,13 +306,22 @@
     return (nowMillis + phaseMillis[server]) % scenario.periodMillis() < failingMillis;
   }
 
-  private long workMillis(boolean idempotent) {
+  private boolean isSlow(int server) {
+    SlowPhase phase = scenario.slowPhase();
+    long sinceStartMillis = nowMillis - startMillis;
+    return sinceStartMillis >= phase.fromMillis()
+        && sinceStartMillis < phase.untilMillis()
+        && server < phase.serverFraction() * scenario.servers();
+  }
+
+  private long workMillis(int server, boolean idempotent) {
     double mean = idempotent ? scenario.idempotentWorkMillis() : scenario.nonIdempotentWorkMillis();
+    double ratio = isSlow(server) ? scenario.slowPhase().workRatio() : 1;
     double spread =
         Math.exp(
             WORK_LOG_DEVIATION * random.nextGaussian()
                 - WORK_LOG_DEVIATION * WORK_LOG_DEVIATION / 2);
-    return Math.max(1, Math.round(mean * spread));
+    return Math.max(1, Math.round(mean * ratio * spread));
   }
 
   /** A request of a caller, with all its attempts. */
@@ -345,12 +412,20 @@
             NETWORK_MILLIS,
             () ->
                 onAttemptEnded(
-                    placement, Either.left(result.getLeft()), 0, nowMillis - sentMillis));
+                    placement,
+                    Either.left(result.getLeft()),
+                    0,
+                    nowMillis - sentMillis,
+                    HostReport.HEALTHY));
         return;
       }
       admissions.add(new ServerEvent(nowMillis, server));
+      decideAtIngress(
+          server,
+          new RoutingEvent.HostedRequestStarted(
+              server(server), SERVICE, node(ingress), nowNanos()));
       boolean fails = isFailing(server) && random.nextDouble() < scenario.failingRequestFraction();
-      long workMillis = fails ? ERROR_RESPONSE_MILLIS : workMillis(head.idempotent());
+      long workMillis = fails ? ERROR_RESPONSE_MILLIS : workMillis(server, head.idempotent());
       schedule(
           workMillis,
           () -> {
@@ -366,16 +441,33 @@
                     status,
                     TimeUnit.MILLISECONDS.toMicros(workMillis),
                     nowNanos()));
-            schedule(
-                NETWORK_MILLIS,
-                () ->
-                    onAttemptEnded(
-                        placement, Either.right(status), workMillis, nowMillis - sentMillis));
+            decideAtIngress(
+                server,
+                new RoutingEvent.HostedRequestEnded(
+                    server(server),
+                    Option.none(),
+                    status,
+                    TimeUnit.MILLISECONDS.toMicros(workMillis),
+                    nowNanos(),
+                    report ->
+                        schedule(
+                            NETWORK_MILLIS,
+                            () ->
+                                onAttemptEnded(
+                                    placement,
+                                    Either.right(status),
+                                    workMillis,
+                                    nowMillis - sentMillis,
+                                    report))));
           });
     }
 
     private void onAttemptEnded(
-        Placement placement, Either<Failure, Integer> result, long workMillis, long totalMillis) {
+        Placement placement,
+        Either<Failure, Integer> result,
+        long workMillis,
+        long totalMillis,
+        HostReport report) {
       decideAtIngress(
           ingress,
           new RoutingEvent.AttemptEnded(
@@ -384,7 +476,7 @@
               result.getOrElse(0),
               TimeUnit.MILLISECONDS.toMicros(workMillis),
               TimeUnit.MILLISECONDS.toMicros(totalMillis),
-              HostReport.HEALTHY,
+              report,
               nowNanos()));
       tried = tried.add(placement.endpoint().server());
       long remainingMillis = deadlineMillis - nowMillis;
@@ -429,8 +521,13 @@
    * <p>Windows in which half of the requests or more failed are left out.
    */
   double lowestHealthyServerUse(long windowMillis, long stepMillis) {
+    return lowestHealthyServerUse(HEALTHY_AFTER_MILLIS + windowMillis, windowMillis, stepMillis);
+  }
+
+  /** Returns the same over the windows that begin later than a time after the start. */
+  double lowestHealthyServerUse(long afterMillis, long windowMillis, long stepMillis) {
     double lowest = 1;
-    for (long from = startMillis + HEALTHY_AFTER_MILLIS + windowMillis;
+    for (long from = startMillis + afterMillis;
         from + windowMillis <= nowMillis;
         from += stepMillis) {
       lowest = Math.min(lowest, healthyServerUse(from, windowMillis));
--- /dev/null
+++ b/policy/src/test/java/org/clementinepost/policy/routing/RoutingFixture.java
@@ -0,0 +1,139 @@
+package org.clementinepost.policy.routing;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.clementinepost.api.AdmissionMode;
+import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.HostReport;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.RequestId;
+import org.clementinepost.api.RequestOptions;
+import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.config.Service;
+import org.clementinepost.kernel.Step;
+
+/** An ingress node in failure domain a, before one service with servers in several domains. */
+final class RoutingFixture {
+  static final FailureDomainId OWN_DOMAIN = new FailureDomainId("a");
+  private static final ServiceId SERVICE = new ServiceId("desk");
+  private static final int SLOTS = 10;
+  private static final int FLOOR_PERCENT = 70;
+  private static final long DEADLINE_MILLIS = 10_000;
+  private static final long RANDOM_SEED = 1;
+
+  private final RoutingPolicy policy = RoutingPolicy.builder().domain(OWN_DOMAIN).build();
+  private final Random random = new Random(RANDOM_SEED);
+  private RoutingState state = RoutingState.empty();
+  private long nowMillis = 10_000;
+
+  RoutingFixture(Vector<Endpoint> endpoints) {
+    Service service =
+        new Service(SERVICE, FLOOR_PERCENT, 1, DEADLINE_MILLIS, 0, 1, 0, "/health", 1_000);
+    decide(new RoutingEvent.Configured(HashMap.of(SERVICE, service), nowNanos()));
+    decide(new RoutingEvent.EndpointsChanged(SERVICE, endpoints, nowNanos()));
+  }
+
+  static Endpoint endpoint(String server, String domain) {
+    return new Endpoint(
+        new BackendServerId(server),
+        SERVICE,
+        new NodeId("node-" + server),
+        new FailureDomainId(domain),
+        SLOTS);
+  }
+
+  private long nowNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(nowMillis);
+  }
+
+  private Vector<RoutingEffect> decide(RoutingEvent event) {
+    Step<RoutingState, RoutingEffect> step = policy.decide(state, event);
+    state = step.state();
+    return step.effects();
+  }
+
+  /** Ejects a server, as after a report of its host. */
+  void eject(Endpoint endpoint) {
+    decide(
+        new RoutingEvent.HostReported(
+            endpoint.server(), SERVICE, endpoint.host(), HostReport.SLOW, nowNanos()));
+  }
+
+  /** Lets time pass, with the ticks of the routing service. */
+  void pass(long millis, long tickIntervalMillis) {
+    for (long passed = 0; passed < millis; passed += tickIntervalMillis) {
+      nowMillis += tickIntervalMillis;
+      decide(new RoutingEvent.Tick(nowNanos()));
+    }
+  }
+
+  /** Places non-idempotent requests, which all succeed at once, and returns their servers. */
+  List<Endpoint> placeNonIdempotent(int requests) {
+    List<Endpoint> placed = new ArrayList<>();
+    for (int i = 0; i < requests; i++) {
+      Endpoint endpoint = place(false);
+      placed.add(endpoint);
+      onSuccess(endpoint);
+    }
+    return placed;
+  }
+
+  /** Places one request that may serve as a trial, and returns its server. */
+  Endpoint placeIdempotent() {
+    return place(true);
+  }
+
+  private Endpoint place(boolean idempotent) {
+    List<Endpoint> placed = new ArrayList<>();
+    Vector<RoutingEffect> effects =
+        decide(
+            new RoutingEvent.Place(
+                head(idempotent), HashSet.empty(), random.nextLong(), nowNanos(), result -> {}));
+    for (RoutingEffect effect : effects) {
+      if (effect instanceof RoutingEffect.Placed decided) {
+        decided.result().peek(placement -> placed.add(placement.endpoint()));
+      }
+    }
+    return placed.get(0);
+  }
+
+  /** Ends a request with the failure of its server. */
+  void onSlowResponse(Endpoint endpoint) {
+    end(endpoint, HostReport.SLOW);
+  }
+
+  private void onSuccess(Endpoint endpoint) {
+    end(endpoint, HostReport.HEALTHY);
+  }
+
+  private void end(Endpoint endpoint, HostReport report) {
+    decide(
+        new RoutingEvent.AttemptEnded(
+            endpoint, Option.none(), 200, 1_000, 2_000, report, nowNanos()));
+  }
+
+  private static RequestHead head(boolean idempotent) {
+    return new RequestHead(
+        new RequestId("request"),
+        1,
+        Option.none(),
+        SERVICE,
+        idempotent ? "GET" : "POST",
+        "/",
+        Vector.empty(),
+        idempotent,
+        Option.none(),
+        DEADLINE_MILLIS,
+        idempotent ? RequestHead.NO_BODY : 100,
+        new RequestOptions(1, 2_500, 3, Option.none(), AdmissionMode.FREE_SLOT_ONLY));
+  }
+}
