Prefer the own failure domain only while it keeps the floor by itself

Cause: a node uses, and so observes and ejects, the servers of its own failure domain, but the floor of its ejections was asked over all domains. It could eject three tenths of all servers, all of them in its own domain, and send all its requests to what was left there; the three domains together could pass over nine tenths. Class: a limit that is checked over a larger set than the one it is used on.

Change: where ejection, avoidance or tries leave less than the floor of the own domain's slots, the request may go to any domain.

The cost in bytes between domains is not measured yet.

--- a/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
@@ -44,7 +44,7 @@
       return refuse(
           state, place, retry ? ResultCode.RETRIES_EXHAUSTED : ResultCode.NO_BACKEND_SERVER);
     }
-    Vector<Endpoint> eligible = domainPreference.preferred(candidates);
+    Vector<Endpoint> eligible = domainPreference.preferred(service, candidates);
     Endpoint chosen = chooser.choose(service, eligible, place.random(), place.nowNanos());
     EndpointState server = service.server(chosen.server()).get();
     return placeOn(
--- a/policy/src/main/java/org/clementinepost/policy/routing/ServiceState.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/ServiceState.java
@@ -47,7 +47,12 @@
 
   /** Returns the least number of slots that ejections must leave in use. */
   int floorSlots() {
-    return ((totalSlots(inUse) + totalSlots(ejected)) * floorPercent + 99) / 100;
+    return floorSlots(totalSlots(inUse) + totalSlots(ejected), floorPercent);
+  }
+
+  /** Returns the least number of slots that is a percentage of all slots. */
+  static int floorSlots(int slots, int percent) {
+    return (slots * percent + 99) / 100;
   }
 
   static int totalSlots(Vector<Endpoint> endpoints) {
