--- a/policy/src/test/java/org/clementinepost/policy/floor/ServiceFloorTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/floor/ServiceFloorTest.java
@@ -19,16 +19,15 @@
   private static final long SIMULATED_MILLIS = 20_000;
   private static final int INGRESS_NODES = 102;
 
-  private static final ServiceSimulation.SlowPhase SLOW_PHASE =
-      new ServiceSimulation.SlowPhase(0.5, 6, 20_000, 30_000);
+  private static final SlowPhase SLOW_PHASE = new SlowPhase(0.5, 6, 20_000, 30_000);
 
   /** The time after a disturbance at which a server counts as healthy again. */
   private static final long HEALTHY_AFTER_MILLIS = 6_000;
 
   /** Returns a scenario in which nearly a third of the servers at a time fail 90% of requests. */
-  private static ServiceSimulation.Scenario scenario(
+  private static ServiceScenario scenario(
       int servers, double nonIdempotentPerSecond, double idempotentPerSecond) {
-    return new ServiceSimulation.Scenario(
+    return new ServiceScenario(
         servers,
         INGRESS_NODES,
         nonIdempotentPerSecond,
@@ -38,10 +37,10 @@
         0.3,
         9_000,
         0.9,
-        ServiceSimulation.SlowPhase.NONE);
+        SlowPhase.NONE);
   }
 
-  private static double lowestHealthyServerUse(ServiceSimulation.Scenario scenario, long seed) {
+  private static double lowestHealthyServerUse(ServiceScenario scenario, long seed) {
     ServiceSimulation simulation = new ServiceSimulation(scenario, seed);
     simulation.run(SIMULATED_MILLIS);
     return simulation.lowestHealthyServerUse(WINDOW_MILLIS, WINDOW_STEP_MILLIS);
--- a/policy/src/test/java/org/clementinepost/policy/floor/ServiceSimulation.java
+++ b/policy/src/test/java/org/clementinepost/policy/floor/ServiceSimulation.java
@@ -73,64 +73,11 @@
   /** The time after its last failed request at which a server counts as healthy again. */
   private static final long HEALTHY_AFTER_MILLIS = 2_000;
 
-  /**
-   * The simulated service and its load.
-   *
-   * @param servers the number of backend servers
-   * @param ingressNodes the number of ingress nodes
-   * @param nonIdempotentPerSecond non-idempotent requests per second
-   * @param idempotentPerSecond idempotent requests per second
-   * @param nonIdempotentWorkMillis the mean time that a server takes for a non-idempotent request
-   * @param idempotentWorkMillis the mean time that a server takes for an idempotent request
-   * @param failingPeriodFraction the fraction of each period during which a server fails
-   * @param periodMillis the length of a period
-   * @param failingRequestFraction the fraction of requests that fail at a failing server
-   * @param slowPhase when some of the servers are slow
-   */
-  record Scenario(
-      int servers,
-      int ingressNodes,
-      double nonIdempotentPerSecond,
-      double idempotentPerSecond,
-      double nonIdempotentWorkMillis,
-      double idempotentWorkMillis,
-      double failingPeriodFraction,
-      long periodMillis,
-      double failingRequestFraction,
-      SlowPhase slowPhase) {
-
-    Scenario withSlowPhase(SlowPhase phase) {
-      return new Scenario(
-          servers,
-          ingressNodes,
-          nonIdempotentPerSecond,
-          idempotentPerSecond,
-          nonIdempotentWorkMillis,
-          idempotentWorkMillis,
-          failingPeriodFraction,
-          periodMillis,
-          failingRequestFraction,
-          phase);
-    }
-  }
-
-  /**
-   * A phase in which the first servers of each failure domain work more slowly.
-   *
-   * @param serverFraction the fraction of the servers that are slow
-   * @param workRatio how many times as long a slow server works on a request
-   * @param fromMillis when the phase begins, from the start of the simulation
-   * @param untilMillis when the phase ends, from the start of the simulation
-   */
-  record SlowPhase(double serverFraction, double workRatio, long fromMillis, long untilMillis) {
-    static final SlowPhase NONE = new SlowPhase(0, 1, 0, 0);
-  }
-
   private record ScheduledAction(long millis, long sequence, Runnable action) {}
 
   private record ServerEvent(long millis, int server) {}
 
-  private final Scenario scenario;
+  private final ServiceScenario scenario;
   private final Random random;
   private final List<HostState> hostStates = new ArrayList<>();
   private final List<RoutingState> ingressStates = new ArrayList<>();
@@ -148,7 +95,7 @@
   private final long startMillis = nowMillis;
   private long nextSequence;
 
-  ServiceSimulation(Scenario scenario, long seed) {
+  ServiceSimulation(ServiceScenario scenario, long seed) {
     this.scenario = scenario;
     this.random = new Random(seed);
     this.phaseMillis = random.longs(scenario.servers(), 0, scenario.periodMillis()).toArray();
@@ -419,6 +366,10 @@
                     HostReport.HEALTHY));
         return;
       }
+      onAdmitted(server, placement, result.get(), sentMillis);
+    }
+
+    private void onAdmitted(int server, Placement placement, Admission admission, long sentMillis) {
       admissions.add(new ServerEvent(nowMillis, server));
       decideAtIngress(
           server,
@@ -428,38 +379,43 @@
       long workMillis = fails ? ERROR_RESPONSE_MILLIS : workMillis(server, head.idempotent());
       schedule(
           workMillis,
-          () -> {
-            int status = fails ? ERROR : OK;
-            if (fails) {
-              failures.add(new ServerEvent(nowMillis, server));
-            }
-            decideAtHost(
-                server,
-                new HostEvent.RequestEnded(
-                    result.get().id(),
-                    Option.none(),
-                    status,
-                    TimeUnit.MILLISECONDS.toMicros(workMillis),
-                    nowNanos()));
-            decideAtIngress(
-                server,
-                new RoutingEvent.HostedRequestEnded(
-                    server(server),
-                    Option.none(),
-                    status,
-                    TimeUnit.MILLISECONDS.toMicros(workMillis),
-                    nowNanos(),
-                    report ->
-                        schedule(
-                            NETWORK_MILLIS,
-                            () ->
-                                onAttemptEnded(
-                                    placement,
-                                    Either.right(status),
-                                    workMillis,
-                                    nowMillis - sentMillis,
-                                    report))));
-          });
+          () -> onServerResponse(server, placement, admission, fails, workMillis, sentMillis));
+    }
+
+    private void onServerResponse(
+        int server,
+        Placement placement,
+        Admission admission,
+        boolean fails,
+        long workMillis,
+        long sentMillis) {
+      int status = fails ? ERROR : OK;
+      long workMicros = TimeUnit.MILLISECONDS.toMicros(workMillis);
+      if (fails) {
+        failures.add(new ServerEvent(nowMillis, server));
+      }
+      decideAtHost(
+          server,
+          new HostEvent.RequestEnded(
+              admission.id(), Option.none(), status, workMicros, nowNanos()));
+      decideAtIngress(
+          server,
+          new RoutingEvent.HostedRequestEnded(
+              server(server),
+              Option.none(),
+              status,
+              workMicros,
+              nowNanos(),
+              report ->
+                  schedule(
+                      NETWORK_MILLIS,
+                      () ->
+                          onAttemptEnded(
+                              placement,
+                              Either.right(status),
+                              workMillis,
+                              nowMillis - sentMillis,
+                              report))));
     }
 
     private void onAttemptEnded(
