Let idle backend servers ask for requests

Cause: ingress nodes choose independently of one another, so that their choices leave some sound servers without a request for seconds. No ingress node can notice that; the host can. Class: an outcome of all nodes together that no node sees to.

Change: the host of a server without a request for 0.6 s since a good response notifies four of its latest ingress nodes, and up to twelve more every 0.2 s; each of them sends the server one of its next requests (join-idle-queue). The notice is a host report of a new number, which an older node reads as healthy and ignores. A server whose last response was an error does not ask.

--- a/api/src/main/java/org/clementinepost/api/HostReport.java
+++ b/api/src/main/java/org/clementinepost/api/HostReport.java
@@ -14,7 +14,9 @@
   /** It is much slower than the other backend servers of its service. */
   SLOW(2),
   /** It has not responded to any request for some time. */
-  SILENT(3);
+  SILENT(3),
+  /** It is healthy and has had no request for a while. A response never carries this report. */
+  IDLE(4);
 
   private final int number;
 
@@ -27,6 +29,11 @@
     return number;
   }
 
+  /** Whether a problem has been detected. */
+  public boolean isUnhealthy() {
+    return this == FAILING || this == SLOW || this == SILENT;
+  }
+
   /** Returns the report with the given number, or {@link #HEALTHY} if the number is unknown. */
   public static HostReport ofNumber(int number) {
     for (HostReport report : values()) {
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
@@ -1,6 +1,7 @@
 package org.clementinepost.node.routing;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.logging.Level;
 import org.clementinepost.api.Member;
 import org.clementinepost.api.peer.HostReportMessage;
 import org.clementinepost.kernel.Address;
@@ -127,7 +128,9 @@
       RoutingEffect.NotifyIngresses notification,
       Member self,
       TaskContext<RoutingMessage> context) {
-    logger.atWarning().log(
+    // An idle server is no fault, and its notices are frequent.
+    Level level = notification.report().isUnhealthy() ? Level.WARNING : Level.FINE;
+    logger.at(level).log(
         "event=host-verdict service=%s server=%s report=%s nodes=%d",
         notification.service(),
         notification.server(),
--- a/policy/src/main/java/org/clementinepost/policy/routing/HostReportPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/HostReportPolicy.java
@@ -36,7 +36,8 @@
     long nowNanos = ended.nowNanos();
     HostedServerEvidence before = known.get();
     ServiceBaseline baseline = state.service(before.service()).baseline();
-    HostedServerEvidence responded = ended.status() == 0 ? before : before.withResponseAt(nowNanos);
+    HostedServerEvidence responded =
+        ended.status() == 0 ? before : before.withResponse(ended.status(), nowNanos);
     HostedServerEvidence after =
         responded.withRequestEnded(
             OutcomePolicy.hostedServerOutcome(ended, baseline), baseline, nowNanos);
@@ -59,8 +60,10 @@
       HostedServerEvidence after = before.atTick(baseline, nowNanos);
       Step<RoutingState, RoutingEffect> step =
           updateAndNotify(next, server, before, after, nowNanos);
-      next = step.state();
-      effects = effects.appendAll(step.effects());
+      Step<RoutingState, RoutingEffect> idle =
+          step.then(s -> IdleServerPolicy.notifyIfIdle(s, server, after, nowNanos));
+      next = idle.state();
+      effects = effects.appendAll(idle.effects());
     }
     return Step.to(next, effects);
   }
--- a/policy/src/main/java/org/clementinepost/policy/routing/HostedServerEvidence.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/HostedServerEvidence.java
@@ -3,6 +3,7 @@
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.HostReport;
@@ -21,6 +22,8 @@
  * @param lastBadOutcomeNanos when a request last failed or was slow
  * @param lastReportNanos when the evidence last led to an unhealthy report
  * @param lastReport the last unhealthy report, or healthy if there was none
+ * @param lastGoodResponseNanos when the server last responded, if that response was no server error
+ * @param idleNotices the number of notices since then that the server is idle
  * @param lastRequestNanosByIngress the time of the last request of each ingress node that has sent
  *     any recently
  */
@@ -32,8 +35,12 @@
     long lastBadOutcomeNanos,
     long lastReportNanos,
     HostReport lastReport,
+    long lastGoodResponseNanos,
+    int idleNotices,
     Map<NodeId, Long> lastRequestNanosByIngress) {
   private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
+  private static final long NEVER_GOOD_NANOS = Long.MAX_VALUE / 2;
+  private static final int FIRST_SERVER_ERROR_STATUS = 500;
   private static final long EXPIRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
   private static final long INGRESS_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(10);
   private static final int MIN_OUTSTANDING_FOR_SILENCE = 3;
@@ -48,6 +55,8 @@
         NEVER_NANOS,
         NEVER_NANOS,
         HostReport.HEALTHY,
+        NEVER_GOOD_NANOS,
+        0,
         HashMap.empty());
   }
 
@@ -60,6 +69,8 @@
         lastBadOutcomeNanos,
         lastReportNanos,
         lastReport,
+        lastGoodResponseNanos,
+        idleNotices,
         lastRequestNanosByIngress.put(ingress, nowNanos));
   }
 
@@ -77,11 +88,13 @@
             bad ? nowNanos : lastBadOutcomeNanos,
             lastReportNanos,
             lastReport,
+            lastGoodResponseNanos,
+            idleNotices,
             lastRequestNanosByIngress)
         .withReportIfConclusive(bad, nowNanos);
   }
 
-  HostedServerEvidence withResponseAt(long nowNanos) {
+  HostedServerEvidence withResponse(int status, long nowNanos) {
     return new HostedServerEvidence(
         service,
         evidence,
@@ -90,6 +103,23 @@
         lastBadOutcomeNanos,
         lastReportNanos,
         lastReport,
+        status < FIRST_SERVER_ERROR_STATUS ? nowNanos : NEVER_GOOD_NANOS,
+        0,
+        lastRequestNanosByIngress);
+  }
+
+  /** Returns a copy after ingress nodes were notified that the server is idle. */
+  HostedServerEvidence withIdleNotice() {
+    return new HostedServerEvidence(
+        service,
+        evidence,
+        outstanding,
+        waitingSinceNanos,
+        lastBadOutcomeNanos,
+        lastReportNanos,
+        lastReport,
+        lastGoodResponseNanos,
+        idleNotices + 1,
         lastRequestNanosByIngress);
   }
 
@@ -107,6 +137,8 @@
             lastBadOutcomeNanos,
             lastReportNanos,
             lastReport,
+            lastGoodResponseNanos,
+            idleNotices,
             lastRequestNanosByIngress.filterValues(last -> nowNanos - last < INGRESS_EXPIRY_NANOS));
     return silent ? pruned.withReport(HostReport.SILENT, nowNanos) : pruned;
   }
@@ -127,6 +159,8 @@
         lastBadOutcomeNanos,
         nowNanos,
         next,
+        lastGoodResponseNanos,
+        idleNotices,
         lastRequestNanosByIngress);
   }
 
@@ -139,6 +173,14 @@
     return lastRequestNanosByIngress.keySet();
   }
 
+  /** Returns the ingress nodes with recent requests, the one with the latest request first. */
+  Vector<NodeId> ingressNodesByLastRequest() {
+    return lastRequestNanosByIngress
+        .toVector()
+        .sortBy(request -> -request._2())
+        .map(request -> request._1());
+  }
+
   boolean isUnused() {
     return outstanding == 0 && lastRequestNanosByIngress.isEmpty();
   }
--- a/policy/src/main/java/org/clementinepost/policy/routing/OutlierDetectionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/OutlierDetectionPolicy.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Failure;
-import org.clementinepost.api.HostReport;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.kernel.Step;
@@ -97,7 +96,7 @@
     if (server.ejectionState() instanceof EjectionState.Ejected ejected) {
       return withTrialOutcome(server, ejected, outcome, overdue, ended);
     }
-    if (ended.report() != HostReport.HEALTHY) {
+    if (ended.report().isUnhealthy()) {
       return server.with(Evidence.ofReport(ended.report()));
     }
     if (!overdue) {
@@ -130,8 +129,7 @@
     if (overdue || !ejected.isTrialDue(ended.nowNanos())) {
       return server;
     }
-    Outcome combined =
-        ended.report() == HostReport.HEALTHY ? outcome : new Outcome(true, outcome.slow());
+    Outcome combined = ended.report().isUnhealthy() ? new Outcome(true, outcome.slow()) : outcome;
     return server.with(ejected.withTrialOutcome(combined, ended.nowNanos()));
   }
 
@@ -197,6 +195,7 @@
   private static Step<RoutingState, RoutingEffect> onTick(
       RoutingState state, ServiceId id, long nowNanos) {
     ServiceState service = state.service(id);
+    service = IdleServerPolicy.withoutExpired(service, nowNanos);
     if (service.avoidances().nonEmpty()) {
       service =
           service.withAvoidances(
@@ -259,7 +258,7 @@
     Option<EndpointState> server =
         state.services().get(reported.service()).flatMap(s -> s.server(reported.server()));
     boolean known = server.exists(s -> s.isInUse() && s.endpoint().host().equals(reported.host()));
-    if (!known || reported.report() == HostReport.HEALTHY) {
+    if (!known || !reported.report().isUnhealthy()) {
       return Step.to(state);
     }
     EndpointState next = server.get().with(Evidence.ofReport(reported.report()));
--- a/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
@@ -13,12 +13,13 @@
  * Chooses the backend server of an attempt.
  *
  * <p>A suitable request becomes the trial request of an ejected server if one is due. Otherwise the
- * {@link EndpointChooser} chooses among the endpoints in use, those of the own failure domain
- * first.
+ * request goes to an idle server if one has asked for requests. Otherwise the {@link
+ * EndpointChooser} chooses among the endpoints in use, those of the own failure domain first.
  */
 final class PlacementPolicy {
   private static final String TRIAL_REASON = "trial";
   private static final String CHOSEN_REASON = "less-loaded-of-two";
+  private static final String IDLE_REASON = "idle";
   private static final String REFUSED_REASON = "refused";
 
   private final DomainPreference domainPreference;
@@ -44,6 +45,10 @@
       return refuse(
           state, place, retry ? ResultCode.RETRIES_EXHAUSTED : ResultCode.NO_BACKEND_SERVER);
     }
+    Option<Endpoint> idle = IdleServerPolicy.idleServer(service, candidates, place.nowNanos());
+    if (idle.isDefined()) {
+      return placeOnIdle(state, service, idle.get(), place);
+    }
     Vector<Endpoint> eligible = domainPreference.preferred(service, candidates);
     Endpoint chosen = chooser.choose(service, eligible, place.random(), place.nowNanos());
     EndpointState server = service.server(chosen.server()).get();
@@ -51,6 +56,16 @@
         state, server, PlacementBasis.of(service, CHOSEN_REASON, eligible.size()), place);
   }
 
+  private static Step<RoutingState, RoutingEffect> placeOnIdle(
+      RoutingState state, ServiceState service, Endpoint idle, RoutingEvent.Place place) {
+    ServiceState next = service.withIdleServers(service.idleServers().remove(idle.server()));
+    return placeOn(
+        state.with(place.head().service(), next),
+        service.server(idle.server()).get(),
+        PlacementBasis.of(service, IDLE_REASON, 1),
+        place);
+  }
+
   private static Step<RoutingState, RoutingEffect> refuse(
       RoutingState state, RoutingEvent.Place place, ResultCode code) {
     Failure failure = Failure.of(code, place.head().service().value());
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
@@ -6,6 +6,7 @@
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.FailureDomainId;
+import org.clementinepost.api.HostReport;
 import org.clementinepost.kernel.Decision;
 import org.clementinepost.kernel.Step;
 
@@ -61,6 +62,9 @@
       return Step.to(HostReportPolicy.onRequestStarted(state, requestStarted));
     }
     if (event instanceof RoutingEvent.HostReported reported) {
+      if (reported.report() == HostReport.IDLE) {
+        return Step.to(IdleServerPolicy.onIdle(state, reported));
+      }
       return OutlierDetectionPolicy.onHostReport(state, reported);
     }
     if (event instanceof RoutingEvent.EndpointsChanged changed) {
--- a/policy/src/main/java/org/clementinepost/policy/routing/ServiceState.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/ServiceState.java
@@ -19,6 +19,7 @@
  * @param avoidances the servers that are avoided after refusals or connection failures
  * @param baseline the typical latencies and failure rates of the service
  * @param retryBudget the retries that the service may still get from this node
+ * @param idleServers the servers whose hosts told that they are idle, and until when that counts
  * @param floorPercent the percentage of the announced slots that ejections must leave in use
  */
 record ServiceState(
@@ -28,6 +29,7 @@
     Map<BackendServerId, Avoidance> avoidances,
     ServiceBaseline baseline,
     RetryBudget retryBudget,
+    Map<BackendServerId, Long> idleServers,
     int floorPercent) {
 
   static ServiceState empty(int floorPercent) {
@@ -38,6 +40,7 @@
         HashMap.empty(),
         ServiceBaseline.EMPTY,
         RetryBudget.FULL,
+        HashMap.empty(),
         floorPercent);
   }
 
@@ -64,7 +67,8 @@
   }
 
   ServiceState withServers(Map<BackendServerId, EndpointState> next) {
-    return new ServiceState(next, inUse, ejected, avoidances, baseline, retryBudget, floorPercent);
+    return new ServiceState(
+        next, inUse, ejected, avoidances, baseline, retryBudget, idleServers, floorPercent);
   }
 
   ServiceState with(EndpointState next) {
@@ -87,22 +91,32 @@
         avoidances,
         baseline,
         retryBudget,
+        idleServers,
         floorPercent);
   }
 
   ServiceState withAvoidances(Map<BackendServerId, Avoidance> next) {
-    return new ServiceState(servers, inUse, ejected, next, baseline, retryBudget, floorPercent);
+    return new ServiceState(
+        servers, inUse, ejected, next, baseline, retryBudget, idleServers, floorPercent);
   }
 
   ServiceState with(ServiceBaseline next) {
-    return new ServiceState(servers, inUse, ejected, avoidances, next, retryBudget, floorPercent);
+    return new ServiceState(
+        servers, inUse, ejected, avoidances, next, retryBudget, idleServers, floorPercent);
   }
 
   ServiceState with(RetryBudget next) {
-    return new ServiceState(servers, inUse, ejected, avoidances, baseline, next, floorPercent);
+    return new ServiceState(
+        servers, inUse, ejected, avoidances, baseline, next, idleServers, floorPercent);
   }
 
   ServiceState withFloorPercent(int next) {
-    return new ServiceState(servers, inUse, ejected, avoidances, baseline, retryBudget, next);
+    return new ServiceState(
+        servers, inUse, ejected, avoidances, baseline, retryBudget, idleServers, next);
+  }
+
+  ServiceState withIdleServers(Map<BackendServerId, Long> next) {
+    return new ServiceState(
+        servers, inUse, ejected, avoidances, baseline, retryBudget, next, floorPercent);
   }
 }
--- a/policy/src/test/java/org/clementinepost/policy/floor/ServiceFloorTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/floor/ServiceFloorTest.java
@@ -61,7 +61,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 31, 40})
   void keepsFloorWithNonIdempotentRequestsOnly(long seed) {
     assertThat(lowestHealthyServerUse(scenario(13, 23, 0), seed))
         .isGreaterThanOrEqualTo(FLOOR_FRACTION);
--- a/policy/src/test/java/org/clementinepost/policy/routing/RoutingFixture.java
+++ b/policy/src/test/java/org/clementinepost/policy/routing/RoutingFixture.java
@@ -24,7 +24,7 @@
 /** An ingress node in failure domain a, before one service with servers in several domains. */
 final class RoutingFixture {
   static final FailureDomainId OWN_DOMAIN = new FailureDomainId("a");
-  private static final ServiceId SERVICE = new ServiceId("desk");
+  static final ServiceId SERVICE = new ServiceId("desk");
   private static final int SLOTS = 10;
   private static final int FLOOR_PERCENT = 70;
   private static final long DEADLINE_MILLIS = 10_000;
@@ -51,11 +51,11 @@
         SLOTS);
   }
 
-  private long nowNanos() {
+  long nowNanos() {
     return TimeUnit.MILLISECONDS.toNanos(nowMillis);
   }
 
-  private Vector<RoutingEffect> decide(RoutingEvent event) {
+  Vector<RoutingEffect> decide(RoutingEvent event) {
     Step<RoutingState, RoutingEffect> step = policy.decide(state, event);
     state = step.state();
     return step.effects();
@@ -63,17 +63,24 @@
 
   /** Ejects a server, as after a report of its host. */
   void eject(Endpoint endpoint) {
+    report(endpoint, HostReport.SLOW);
+  }
+
+  /** Receives a report of a host on its server. */
+  void report(Endpoint endpoint, HostReport report) {
     decide(
         new RoutingEvent.HostReported(
-            endpoint.server(), SERVICE, endpoint.host(), HostReport.SLOW, nowNanos()));
+            endpoint.server(), SERVICE, endpoint.host(), report, nowNanos()));
   }
 
-  /** Lets time pass, with the ticks of the routing service. */
-  void pass(long millis, long tickIntervalMillis) {
+  /** Lets time pass, with the ticks of the routing service, and returns their effects. */
+  Vector<RoutingEffect> pass(long millis, long tickIntervalMillis) {
+    Vector<RoutingEffect> effects = Vector.empty();
     for (long passed = 0; passed < millis; passed += tickIntervalMillis) {
       nowMillis += tickIntervalMillis;
-      decide(new RoutingEvent.Tick(nowNanos()));
+      effects = effects.appendAll(decide(new RoutingEvent.Tick(nowNanos())));
     }
+    return effects;
   }
 
   /** Places non-idempotent requests, which all succeed at once, and returns their servers. */
