--- a/policy/src/main/java/org/clementinepost/policy/routing/HostedServerEvidence.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/HostedServerEvidence.java
@@ -47,31 +47,15 @@
   private static final long MIN_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   static HostedServerEvidence of(ServiceId service) {
-    return new HostedServerEvidence(
-        service,
-        Evidence.NONE,
-        0,
-        NEVER_NANOS,
-        NEVER_NANOS,
-        NEVER_NANOS,
-        HostReport.HEALTHY,
-        NEVER_GOOD_NANOS,
-        0,
-        HashMap.empty());
+    return new Builder(service).build();
   }
 
   HostedServerEvidence withRequestStarted(NodeId ingress, long nowNanos) {
-    return new HostedServerEvidence(
-        service,
-        evidence,
-        outstanding + 1,
-        outstanding == 0 ? nowNanos : waitingSinceNanos,
-        lastBadOutcomeNanos,
-        lastReportNanos,
-        lastReport,
-        lastGoodResponseNanos,
-        idleNotices,
-        lastRequestNanosByIngress.put(ingress, nowNanos));
+    return toBuilder()
+        .outstanding(outstanding + 1)
+        .waitingSinceNanos(outstanding == 0 ? nowNanos : waitingSinceNanos)
+        .lastRequestNanosByIngress(lastRequestNanosByIngress.put(ingress, nowNanos))
+        .build();
   }
 
   /** Adds the outcome of a request. Evidence expires after a time without bad outcomes. */
@@ -80,47 +64,26 @@
     boolean bad = outcome.exists(ended -> !ended.isGood());
     boolean expired = nowNanos - lastBadOutcomeNanos > EXPIRY_NANOS;
     Evidence before = expired ? Evidence.NONE : evidence;
-    return new HostedServerEvidence(
-            service,
-            outcome.map(ended -> before.withOutcome(ended, baseline, nowNanos)).getOrElse(before),
-            Math.max(0, outstanding - 1),
-            waitingSinceNanos,
-            bad ? nowNanos : lastBadOutcomeNanos,
-            lastReportNanos,
-            lastReport,
-            lastGoodResponseNanos,
-            idleNotices,
-            lastRequestNanosByIngress)
+    return toBuilder()
+        .evidence(
+            outcome.map(ended -> before.withOutcome(ended, baseline, nowNanos)).getOrElse(before))
+        .outstanding(Math.max(0, outstanding - 1))
+        .lastBadOutcomeNanos(bad ? nowNanos : lastBadOutcomeNanos)
+        .build()
         .withReportIfConclusive(bad, nowNanos);
   }
 
   HostedServerEvidence withResponse(int status, long nowNanos) {
-    return new HostedServerEvidence(
-        service,
-        evidence,
-        outstanding,
-        nowNanos,
-        lastBadOutcomeNanos,
-        lastReportNanos,
-        lastReport,
-        status < FIRST_SERVER_ERROR_STATUS ? nowNanos : NEVER_GOOD_NANOS,
-        0,
-        lastRequestNanosByIngress);
+    return toBuilder()
+        .waitingSinceNanos(nowNanos)
+        .lastGoodResponseNanos(status < FIRST_SERVER_ERROR_STATUS ? nowNanos : NEVER_GOOD_NANOS)
+        .idleNotices(0)
+        .build();
   }
 
   /** Returns a copy after ingress nodes were notified that the server is idle. */
   HostedServerEvidence withIdleNotice() {
-    return new HostedServerEvidence(
-        service,
-        evidence,
-        outstanding,
-        waitingSinceNanos,
-        lastBadOutcomeNanos,
-        lastReportNanos,
-        lastReport,
-        lastGoodResponseNanos,
-        idleNotices + 1,
-        lastRequestNanosByIngress);
+    return toBuilder().idleNotices(idleNotices + 1).build();
   }
 
   /** Forgets ingress nodes without recent requests, and reports a server that has gone silent. */
@@ -129,17 +92,11 @@
     boolean silent =
         outstanding >= MIN_OUTSTANDING_FOR_SILENCE && nowNanos - waitingSinceNanos >= limitNanos;
     HostedServerEvidence pruned =
-        new HostedServerEvidence(
-            service,
-            evidence,
-            outstanding,
-            waitingSinceNanos,
-            lastBadOutcomeNanos,
-            lastReportNanos,
-            lastReport,
-            lastGoodResponseNanos,
-            idleNotices,
-            lastRequestNanosByIngress.filterValues(last -> nowNanos - last < INGRESS_EXPIRY_NANOS));
+        toBuilder()
+            .lastRequestNanosByIngress(
+                lastRequestNanosByIngress.filterValues(
+                    last -> nowNanos - last < INGRESS_EXPIRY_NANOS))
+            .build();
     return silent ? pruned.withReport(HostReport.SILENT, nowNanos) : pruned;
   }
 
@@ -151,17 +108,7 @@
   }
 
   private HostedServerEvidence withReport(HostReport next, long nowNanos) {
-    return new HostedServerEvidence(
-        service,
-        evidence,
-        outstanding,
-        waitingSinceNanos,
-        lastBadOutcomeNanos,
-        nowNanos,
-        next,
-        lastGoodResponseNanos,
-        idleNotices,
-        lastRequestNanosByIngress);
+    return toBuilder().lastReportNanos(nowNanos).lastReport(next).build();
   }
 
   /** Returns the last report, or healthy once it has expired. */
@@ -184,4 +131,94 @@
   boolean isUnused() {
     return outstanding == 0 && lastRequestNanosByIngress.isEmpty();
   }
+
+  private Builder toBuilder() {
+    return new Builder(service)
+        .evidence(evidence)
+        .outstanding(outstanding)
+        .waitingSinceNanos(waitingSinceNanos)
+        .lastBadOutcomeNanos(lastBadOutcomeNanos)
+        .lastReportNanos(lastReportNanos)
+        .lastReport(lastReport)
+        .lastGoodResponseNanos(lastGoodResponseNanos)
+        .idleNotices(idleNotices)
+        .lastRequestNanosByIngress(lastRequestNanosByIngress);
+  }
+
+  /** Builds {@link HostedServerEvidence}, at first of a server without any requests. */
+  private static final class Builder {
+    private final ServiceId service;
+    private Evidence evidence = Evidence.NONE;
+    private int outstanding;
+    private long waitingSinceNanos = NEVER_NANOS;
+    private long lastBadOutcomeNanos = NEVER_NANOS;
+    private long lastReportNanos = NEVER_NANOS;
+    private HostReport lastReport = HostReport.HEALTHY;
+    private long lastGoodResponseNanos = NEVER_GOOD_NANOS;
+    private int idleNotices;
+    private Map<NodeId, Long> lastRequestNanosByIngress = HashMap.empty();
+
+    Builder(ServiceId service) {
+      this.service = service;
+    }
+
+    Builder evidence(Evidence next) {
+      evidence = next;
+      return this;
+    }
+
+    Builder outstanding(int next) {
+      outstanding = next;
+      return this;
+    }
+
+    Builder waitingSinceNanos(long next) {
+      waitingSinceNanos = next;
+      return this;
+    }
+
+    Builder lastBadOutcomeNanos(long next) {
+      lastBadOutcomeNanos = next;
+      return this;
+    }
+
+    Builder lastReportNanos(long next) {
+      lastReportNanos = next;
+      return this;
+    }
+
+    Builder lastReport(HostReport next) {
+      lastReport = next;
+      return this;
+    }
+
+    Builder lastGoodResponseNanos(long next) {
+      lastGoodResponseNanos = next;
+      return this;
+    }
+
+    Builder idleNotices(int next) {
+      idleNotices = next;
+      return this;
+    }
+
+    Builder lastRequestNanosByIngress(Map<NodeId, Long> next) {
+      lastRequestNanosByIngress = next;
+      return this;
+    }
+
+    HostedServerEvidence build() {
+      return new HostedServerEvidence(
+          service,
+          evidence,
+          outstanding,
+          waitingSinceNanos,
+          lastBadOutcomeNanos,
+          lastReportNanos,
+          lastReport,
+          lastGoodResponseNanos,
+          idleNotices,
+          lastRequestNanosByIngress);
+    }
+  }
 }
