Reject a request that every server refuses

Cause: after six refusals a request is tried once more at any server, failing ones included; the retry after that attempt went back to asking for a free slot, so that both rounds began again.

Change: a request that accepts any server keeps doing so, and ends after six more servers.

requestRefusedByEveryServerIsRejectedAtOnce uses up its 100 prepared refusals before and at most 12 now.

--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -257,7 +257,10 @@
     RequestHead next =
         head.nextAttempt(head.attempt() + (reachedServer ? 1 : 0), remainingMillis(deadlineNanos))
             .withOptions(
-                head.options().withAdmissionMode(RetryPolicy.admissionMode(triedServers.size())));
+                head.options()
+                    .withAdmissionMode(
+                        RetryPolicy.nextAdmissionMode(
+                            head.options().admissionMode(), triedServers.size())));
     return place(next, triedServers)
         .flatMap(
             placed ->
--- a/node/src/test/java/org/clementinepost/node/edge/RequestPipelineTest.java
+++ b/node/src/test/java/org/clementinepost/node/edge/RequestPipelineTest.java
@@ -47,6 +47,7 @@
   private static final int ERROR_STATUS = 500;
   private static final int OK_STATUS = 200;
   private static final long TIMEOUT_MILLIS = 1_000;
+  private static final int MAX_SERVERS_TRIED = 6;
   private static final int LONG_BODY_BYTES = 100 << 10;
 
   private final VirtualTimeScheduler scheduler = VirtualTimeScheduler.create();
@@ -198,6 +199,15 @@
     assertResponse(OK_STATUS, "good");
   }
 
+  /** Guards against requests that every server refuses until their deadline. */
+  @Test
+  void requestRefusedByEveryServerIsRejectedAtOnce() {
+    run(100, Vector.fill(100, () -> failure(ResultCode.HOST_QUEUE_FULL)));
+
+    assertThat(results.get(0).getLeft().code()).isEqualTo(ResultCode.HOST_QUEUE_FULL);
+    assertThat(sentAttempts).isLessThanOrEqualTo(2 * MAX_SERVERS_TRIED);
+  }
+
   @Test
   void keepsFirstFailureThatMayHaveRunWhenRetryIsRefused() {
     run(
--- a/policy/src/main/java/org/clementinepost/policy/routing/RetryPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RetryPolicy.java
@@ -28,8 +28,17 @@
 
   private RetryPolicy() {}
 
-  /** Returns how the next host admits the request: only to a free slot, or with waiting. */
-  public static AdmissionMode admissionMode(int serversTried) {
+  /**
+   * Returns how the next host admits the request: only to a free slot, or with waiting. A request
+   * that accepts any server keeps doing so, since it would otherwise start from the beginning.
+   *
+   * @param current the admission mode of the attempt before
+   * @param serversTried the number of servers tried so far
+   */
+  public static AdmissionMode nextAdmissionMode(AdmissionMode current, int serversTried) {
+    if (current == AdmissionMode.ANY_SERVER) {
+      return AdmissionMode.ANY_SERVER;
+    }
     return serversTried < SERVERS_TRIED_BEFORE_WAITING
         ? AdmissionMode.FREE_SLOT_ONLY
         : AdmissionMode.WAIT_FOR_SLOT;
--- a/policy/src/test/java/org/clementinepost/policy/floor/ServiceSimulation.java
+++ b/policy/src/test/java/org/clementinepost/policy/floor/ServiceSimulation.java
@@ -450,7 +450,10 @@
       RequestHead next =
           head.nextAttempt(head.attempt() + (reached ? 1 : 0), remainingMillis)
               .withOptions(
-                  head.options().withAdmissionMode(RetryPolicy.admissionMode(tried.size())));
+                  head.options()
+                      .withAdmissionMode(
+                          RetryPolicy.nextAdmissionMode(
+                              head.options().admissionMode(), tried.size())));
       place(next, failure -> tryAnyServer(result, remainingMillis));
     }
 
