--- a/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
@@ -13,8 +13,8 @@
  * Chooses the backend server of an attempt.
  *
  * <p>A suitable request becomes the trial request of an ejected server if one is due. Otherwise the
- * request goes to an idle server if one has asked for requests. Otherwise the {@link
- * EndpointChooser} chooses among the endpoints in use, those of the own failure domain first.
+ * request goes to an idle server that has asked for one. Failing that, the {@link EndpointChooser}
+ * chooses among the endpoints in use, those of the own failure domain first.
  */
 final class PlacementPolicy {
   private static final String TRIAL_REASON = "trial";
