Measure detection at the nodes that use the faulty server

bin/measures counted every node that did not eject the faulty server as one that missed it for 20 s. Now only the nodes that placed requests on the server count; a node that does not use it is not harmed by it.

--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/RunStatistics.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/RunStatistics.java
@@ -1,8 +1,13 @@
 package org.clementinepost.benchmarks.measures;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.HdrHistogram.Histogram;
+import org.clementinepost.api.BackendServerId;
 import org.clementinepost.policy.routing.RoutingEffect;
 
 /** Collects requests, attempts, latencies and ejections during one period of a simulation. */
@@ -17,6 +22,7 @@
   private final long[] requests;
   private final long[] successfulRequests;
   private final List<Ejection> ejections = new ArrayList<>();
+  private final Map<BackendServerId, Set<Integer>> nodesByServer = new HashMap<>();
   private long failedIdempotentRequests;
   private long attempts;
   private long readmissions;
@@ -50,6 +56,20 @@
     if (effect instanceof RoutingEffect.Readmitted) {
       readmissions++;
     }
+    if (effect instanceof RoutingEffect.Placed placed) {
+      placed
+          .result()
+          .peek(
+              placement ->
+                  nodesByServer
+                      .computeIfAbsent(placement.endpoint().server(), server -> new HashSet<>())
+                      .add(nodeIndex));
+    }
+  }
+
+  /** Returns the ingress nodes that placed requests on a backend server. */
+  Set<Integer> nodesUsing(BackendServerId server) {
+    return Set.copyOf(nodesByServer.getOrDefault(server, Set.of()));
   }
 
   List<Ejection> ejections() {
