Believe only the first refusal of a request on a connection

Cause: a response was attributed by request id alone. A server that wrote an earlier refusal once more while another attempt of the same request ran on that connection had it believed: the caller heard 'not run' of a request that ran, or it ran at a second server. In the default dialect, where ids are optional, any refusal written twice was believed, and a differing id ignored.

Excluded: a refusal of another request (its id differs; already rejected), bytes on an idle connection (ResponseGuard closes it).

Change: a connection remembers the requests refused on it; a second refusal of one of them is an unknown outcome and closes the connection. A refusal without an id closes its connection. A response with another id is rejected in every dialect. reusesConnectionAfterRefusalWithShortBody asserted reuse after a refusal without an id, which is the fault; it now sends the id and asserts the same.

--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -147,7 +147,7 @@
             .map(Chunk::wrap)
             .doOnCancel(connection::dispose);
     if (refused) {
-      return drainRefusal(admission, body);
+      return onRefusal(admission, request, headers, connection, body);
     }
     ResponseHead head =
         new ResponseHead(
@@ -171,6 +171,31 @@
         .onErrorResume(error -> Mono.just(Either.left(toFailure(admission, error))));
   }
 
+  /**
+   * Returns the failure for a refusal, and keeps the connection only if a copy of this refusal that
+   * arrives on it later can be told from the response to another request.
+   */
+  private Mono<Either<Failure, BackendResponse>> onRefusal(
+      Admission admission,
+      RequestHead request,
+      HttpHeaders headers,
+      Connection connection,
+      Flux<Chunk> body) {
+    RefusedRequests refusedBefore = RefusedRequests.on(connection.channel());
+    if (refusedBefore.contains(request.requestId())) {
+      connection.dispose();
+      return Mono.just(
+          Either.left(
+              Failure.of(
+                  ResultCode.BACKEND_ANSWER_LOST,
+                  admission.server() + ": second refusal of a request on one connection")));
+    }
+    refusedBefore.with(request.requestId()).store(connection.channel());
+    Mono<Either<Failure, BackendResponse>> refusal = drainRefusal(admission, body);
+    boolean reusable = headers.contains(dialect.requestIdHeader()) && !refusedBefore.isFull();
+    return reusable ? refusal : refusal.doOnNext(result -> connection.dispose());
+  }
+
   /**
    * Reads the body of a refusal and returns the failure. The head alone shows that the request
    * didn't run, so the body is discarded if it is slow or long.
@@ -215,12 +240,13 @@
   }
 
   /**
-   * Whether the response carries the id of another request. A backend server that puts request ids
-   * into its responses may send a response twice or late.
+   * Whether the response carries the id of another request, or none although the dialect requires
+   * it. A backend server that puts request ids into its responses may send a response twice or
+   * late.
    */
   private boolean isOfAnotherRequest(RequestHead request, HttpHeaders headers) {
-    return dialect.acceptsCallerRequestIds()
-        && !request.requestId().value().equals(headers.get(dialect.requestIdHeader()));
+    String id = headers.get(dialect.requestIdHeader());
+    return id == null ? dialect.acceptsCallerRequestIds() : !request.requestId().value().equals(id);
   }
 
   private static Vector<HeaderField> endToEndHeaders(HttpHeaders headers) {
--- a/node/src/test/java/org/clementinepost/node/exchange/UnboundedResponseTest.java
+++ b/node/src/test/java/org/clementinepost/node/exchange/UnboundedResponseTest.java
@@ -2,108 +2,47 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.time.Duration;
-import org.clementinepost.api.BackendServerId;
-import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
-import org.clementinepost.api.RequestHead;
-import org.clementinepost.api.RequestId;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.api.ServiceId;
 import org.clementinepost.api.http.HttpDialect;
-import org.clementinepost.kernel.Kernel;
-import org.clementinepost.kernel.ServiceDefinition;
-import org.clementinepost.node.host.HostMessage;
-import org.clementinepost.node.host.HostService;
-import org.clementinepost.policy.host.Admission;
-import org.clementinepost.testing.backend.RawServerStandIn;
 import org.clementinepost.testing.backend.RawServerStandIn.RawResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import reactor.core.publisher.Flux;
-import reactor.core.publisher.Sinks;
-import reactor.core.scheduler.Schedulers;
 
 /**
  * Checks the limits on what a backend server may send: bodies, heads and interim responses without
  * end, slow bodies, and bytes after a response. Without these limits a faulty server could exhaust
  * the memory of the node or have its bytes taken for the response to another request.
- *
- * <p>The host admits every request.
  */
 final class UnboundedResponseTest {
-  private static final Duration TIMEOUT = Duration.ofSeconds(60);
-  private static final long FAR_DEADLINE_MILLIS = 50_000;
+  private static final long FAR_DEADLINE_MILLIS = ExchangeFixture.FAR_DEADLINE_MILLIS;
   private static final long NEAR_DEADLINE_MILLIS = 1_500;
 
   /** Allowance for the socket buffers of the loopback interface and the prefetch of the node. */
   private static final long SOCKET_BUFFER_BYTES = 12 << 20;
 
   private static final long BUFFERED_BYTES = 1 << 20;
-  private static final BackendServerId SERVER = new BackendServerId("b");
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   private static final String NO_LENGTH = "HTTP/1.1 200 OK\r\n\r\n";
   private static final String GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
   private static final String SHED =
       "HTTP/1.1 503 Service Unavailable\r\nclementinepost-outcome: not-run\r\n";
 
-  private final Sinks.Many<HostMessage.RequestEnded> ends = Sinks.many().replay().all();
-  private RawServerStandIn server;
-  private Kernel kernel;
-  private int requests;
+  private ExchangeFixture exchange;
 
-  private void serve(RawResponse reply) {
-    serve(Vector.of(reply));
-  }
-
-  private void serve(Vector<RawResponse> replies) {
-    server = RawServerStandIn.start(request -> replies.get(Math.min(request, replies.size()) - 1));
-    kernel =
-        Kernel.builder()
-            .scheduler(Schedulers.parallel())
-            .service(new ServiceDefinition<>(HostService.NAME, 100, context -> this::admit))
-            .service(ExchangeService.definition(10, HttpDialect.DEFAULT))
-            .start();
-  }
-
-  private void admit(HostMessage message) {
-    if (message instanceof HostMessage.Admit admit) {
-      admit.reply().send(Either.right(new Admission(1, SERVER, server.address())));
-    }
-    if (message instanceof HostMessage.RequestEnded ended) {
-      ends.tryEmitNext(ended);
-    }
+  private void serve(RawResponse... replies) {
+    exchange = ExchangeFixture.start(HttpDialect.DEFAULT, replies);
   }
 
   @AfterEach
   void stop() {
-    kernel.dispose();
-    server.close();
+    exchange.close();
   }
 
   private Either<Failure, BackendResponse> request(long timeoutMillis) {
-    requests++;
-    RequestHead head =
-        new RequestHead(
-            new RequestId("r" + requests),
-            1,
-            Option.none(),
-            new ServiceId("s"),
-            "GET",
-            "/",
-            Vector.empty(),
-            true,
-            Option.none(),
-            timeoutMillis,
-            RequestHead.NO_BODY);
-    return Exchanges.request(
-            kernel.find(ExchangeService.NAME),
-            (cancelled, reply) ->
-                new ExchangeMessage.Send(SERVER, head, Flux.empty(), cancelled, reply))
-        .block(TIMEOUT);
+    return exchange.request(timeoutMillis);
   }
 
   private static Failure awaitBodyFailure(BackendResponse response) {
@@ -112,29 +51,20 @@
         .then()
         .materialize()
         .map(signal -> ((BodyFailedException) signal.getThrowable()).failure())
-        .block(TIMEOUT);
+        .block(ExchangeFixture.TIMEOUT);
   }
 
   private static String text(Either<Failure, BackendResponse> result) {
-    StringBuilder text = new StringBuilder();
-    for (Chunk chunk : result.get().body().toIterable()) {
-      text.append(new String(chunk.bytes(), java.nio.charset.StandardCharsets.ISO_8859_1));
-    }
-    return text.toString();
+    return ExchangeFixture.text(result);
   }
 
   private Option<ResultCode> firstEndFailure() {
-    return endFailure(0);
-  }
-
-  /** The result code in the nth report of a request's end to the host, counted from zero. */
-  private Option<ResultCode> endFailure(int index) {
-    return ends.asFlux().elementAt(index).block(TIMEOUT).failure().map(Failure::code);
+    return exchange.endFailure(0);
   }
 
   private void assertClosedWithin(long bytes) throws InterruptedException {
-    assertThat(server.awaitClosed(TIMEOUT.toMillis())).isTrue();
-    assertThat(server.sentBytes()).isLessThan(bytes + SOCKET_BUFFER_BYTES);
+    assertThat(exchange.server().awaitClosed(ExchangeFixture.TIMEOUT.toMillis())).isTrue();
+    assertThat(exchange.server().sentBytes()).isLessThan(bytes + SOCKET_BUFFER_BYTES);
   }
 
   @Test
@@ -191,13 +121,13 @@
   @Test
   void failsSlowLongBodyAtDeadline() throws Exception {
     String head = "HTTP/1.1 200 OK\r\nContent-Length: " + 4 * BUFFERED_BYTES + "\r\n\r\n";
-    serve(Vector.of(RawResponse.once(GOOD), new RawResponse(head, "x", 20)));
+    serve(RawResponse.once(GOOD), new RawResponse(head, "x", 20));
     assertThat(text(request(FAR_DEADLINE_MILLIS))).isEqualTo("good");
 
     Failure failure = awaitBodyFailure(request(NEAR_DEADLINE_MILLIS).get());
 
     assertThat(failure.code()).isEqualTo(ResultCode.BACKEND_TIMED_OUT);
-    assertThat(endFailure(1)).contains(ResultCode.BACKEND_TIMED_OUT);
+    assertThat(exchange.endFailure(1)).contains(ResultCode.BACKEND_TIMED_OUT);
     assertClosedWithin(0);
   }
 
@@ -220,15 +150,16 @@
   }
 
   @Test
-  void reusesConnectionAfterRefusalWithShortBody() {
+  void reusesConnectionAfterRefusalWithRequestIdAndShortBody() {
+    String idOfFirstRequest = "clementinepost-request-id: r1\r\n";
     serve(
-        Vector.of(
-            RawResponse.once(SHED + "Content-Length: 4\r\n\r\nbusy"), RawResponse.once(GOOD)));
+        RawResponse.once(SHED + idOfFirstRequest + "Content-Length: 4\r\n\r\nbusy"),
+        RawResponse.once(GOOD));
 
     assertThat(request(FAR_DEADLINE_MILLIS).getLeft().code())
         .isEqualTo(ResultCode.BACKEND_SERVER_SHED);
     assertThat(text(request(FAR_DEADLINE_MILLIS))).isEqualTo("good");
-    assertThat(server.connectionCount()).isEqualTo(1);
+    assertThat(exchange.server().connectionCount()).isEqualTo(1);
   }
 
   @Test
@@ -290,7 +221,7 @@
 
   @Test
   void discardsBytesAfterResponse() throws Exception {
-    serve(Vector.of(RawResponse.endless(GOOD, "x"), RawResponse.once(GOOD)));
+    serve(RawResponse.endless(GOOD, "x"), RawResponse.once(GOOD));
 
     assertThat(text(request(FAR_DEADLINE_MILLIS))).isEqualTo("good");
     assertClosedWithin(0);
@@ -300,7 +231,7 @@
   @Test
   void discardsSecondResponseToOneRequest() throws Exception {
     String second = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad";
-    serve(Vector.of(RawResponse.once(GOOD + second), RawResponse.once(GOOD)));
+    serve(RawResponse.once(GOOD + second), RawResponse.once(GOOD));
 
     assertThat(text(request(FAR_DEADLINE_MILLIS))).isEqualTo("good");
     assertClosedWithin(0);
@@ -310,9 +241,8 @@
   @Test
   void discardsPartOfSecondResponse() throws Exception {
     serve(
-        Vector.of(
-            RawResponse.once(GOOD + "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nbad"),
-            RawResponse.once(GOOD)));
+        RawResponse.once(GOOD + "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nbad"),
+        RawResponse.once(GOOD));
 
     assertThat(text(request(FAR_DEADLINE_MILLIS))).isEqualTo("good");
     assertClosedWithin(0);
