--- a/node/src/main/java/org/clementinepost/node/announce/AnnouncementReader.java
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnouncementReader.java
@@ -16,9 +16,6 @@
 
 /** Parses an announcement in the default protocol. */
 final class AnnouncementReader {
-  /** Upper bound of the number of slots and of connections. */
-  private static final int MAX_COUNT = 100_000;
-
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private static final String PATH = "/announce";
@@ -52,10 +49,6 @@
   }
 
   private static int count(JsonNode node, String field) {
-    int value = node.path(field).asInt();
-    if (value < 1 || value > MAX_COUNT) {
-      throw new IllegalArgumentException(field + " must be from 1 to " + MAX_COUNT);
-    }
-    return value;
+    return JsonFields.requireIntBetween(node, field, 1, Announcement.MAX_SLOTS);
   }
 }
--- a/node/src/main/java/org/clementinepost/node/directory/NodeRow.java
+++ b/node/src/main/java/org/clementinepost/node/directory/NodeRow.java
@@ -12,10 +12,10 @@
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.api.Member;
-import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
+import org.clementinepost.policy.host.Announcement;
 import org.clementinepost.storage.rows.JsonFields;
 
 /**
@@ -66,7 +66,7 @@
         new Member(
             node,
             JsonFields.requireLong(root, INCARNATION),
-            NetworkAddress.parse(JsonFields.requireText(root, PEER)),
+            JsonFields.requireIpAddress(root, PEER),
             new FailureDomainId(JsonFields.requireText(root, DOMAIN)));
     return new NodeRow(
         member, Vector.ofAll(root.path(SERVERS)).map(server -> endpoint(member, server)));
@@ -78,6 +78,6 @@
         new ServiceId(JsonFields.requireText(server, SERVICE)),
         member.node(),
         member.domain(),
-        JsonFields.requireIntAtLeast(server, SLOTS, 1));
+        JsonFields.requireIntBetween(server, SLOTS, 1, Announcement.MAX_SLOTS));
   }
 }
--- a/node/src/test/java/org/clementinepost/node/RowStoreNodeTest.java
+++ b/node/src/test/java/org/clementinepost/node/RowStoreNodeTest.java
@@ -3,18 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.collection.Vector;
-import io.vavr.control.Option;
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
-import java.util.function.BooleanSupplier;
-import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.api.NetworkAddress;
-import org.clementinepost.api.NodeId;
-import org.clementinepost.api.ServiceId;
-import org.clementinepost.node.settings.NodeSettings;
-import org.clementinepost.platform.StoreClient;
-import org.clementinepost.policy.quota.EmergencyAllowance;
 import org.clementinepost.testing.rows.HeartbeatBackendStandIn;
 import org.clementinepost.testing.rows.RowStoreStandIn;
 import org.clementinepost.testing.rows.RowStoreStandIn.Fault;
@@ -27,11 +19,7 @@
 
 /** Tests two nodes, each with a local backend server, on a platform with a row store. */
 final class RowStoreNodeTest {
-  private static final Duration TIMEOUT = Duration.ofSeconds(30);
-  private static final Duration RETRY_PERIOD = Duration.ofMillis(50);
-  private static final EmergencyAllowance ALLOWANCE = new EmergencyAllowance(0.1, 20, 5);
-  private static final long KEY_WITHDRAWAL_MILLIS = 5_000;
-  private static final long GRACE_MILLIS = 30_000;
+  private static final Duration TIMEOUT = RowStoreNodes.TIMEOUT;
   private static final int OK = 200;
   private static final int UNAUTHORIZED = 401;
   private static final int NOT_FOUND = 404;
@@ -39,37 +27,12 @@
   private static final int SERVICE_UNAVAILABLE = 503;
 
   private final RowStoreStandIn store = RowStoreStandIn.start();
-  private final Node first = start("first");
-  private final Node second = start("second");
+  private final Node first = RowStoreNodes.start(store, "first", "near");
+  private final Node second = RowStoreNodes.start(store, "second", "near");
   private HeartbeatBackendStandIn localServer;
   private HeartbeatBackendStandIn remoteServer;
   private int attemptCount;
 
-  private Node start(String name) {
-    NetworkAddress anyPort = new NetworkAddress("127.0.0.1", 0);
-    NodeSettings settings =
-        new NodeSettings(
-            new NodeId(name),
-            new FailureDomainId("a"),
-            anyPort,
-            anyPort,
-            anyPort,
-            anyPort,
-            Option.none(),
-            Option.none(),
-            Option.some(store.address()),
-            Option.some(new ServiceId("near")),
-            Option.none(),
-            KEY_WITHDRAWAL_MILLIS,
-            ALLOWANCE,
-            100,
-            100,
-            new NodeSettings.EdgeLimits(16_384, 1 << 26, 20_000, 20_000),
-            GRACE_MILLIS);
-    return Node.start(
-        settings, PlatformAdapter.rowStore(new StoreClient(store.address()), ALLOWANCE), 1);
-  }
-
   private static String configuration(int version, String key, int ratePerSecond) {
     return
 """
@@ -96,15 +59,13 @@
         .formatted(name, name, kind, service, openToAll);
   }
 
-  private static NetworkAddress announceAddress(Node node) {
-    return new NetworkAddress("127.0.0.1", node.ports().block(TIMEOUT).announce());
-  }
-
   @BeforeEach
   void startServersAndAwaitRoutes() {
     store.put("op", "config", configuration(2, "k", 1_000));
-    localServer = HeartbeatBackendStandIn.start("i-near", "near", announceAddress(first));
-    remoteServer = HeartbeatBackendStandIn.start("i-far", "far", announceAddress(second));
+    localServer =
+        HeartbeatBackendStandIn.start("i-near", "near", RowStoreNodes.announceAddress(first));
+    remoteServer =
+        HeartbeatBackendStandIn.start("i-far", "far", RowStoreNodes.announceAddress(second));
     await("/near/x", OK);
     await("/far/x", OK);
   }
@@ -134,7 +95,7 @@
                     .set("Tenant-Id", "forged")
                     .set("Authorization", "Bearer " + key))
         .post()
-        .uri("http://127.0.0.1:" + first.ports().block(TIMEOUT).ingress() + path)
+        .uri("http://" + RowStoreNodes.ingressAddress(first) + path)
         .send((request, outbound) -> outbound.sendString(Mono.just("body")))
         .responseSingle(
             (response, content) -> content.asByteArray().then(Mono.just(response.status().code())));
@@ -145,16 +106,7 @@
   }
 
   private void await(String path, int status) {
-    await(() -> statusOf(path) == status);
-  }
-
-  private static void await(BooleanSupplier condition) {
-    Mono.fromSupplier(condition::getAsBoolean)
-        .filter(isMet -> isMet)
-        .repeatWhenEmpty(
-            repeats -> repeats.delayElements(RETRY_PERIOD, Schedulers.boundedElastic()))
-        .timeout(TIMEOUT)
-        .block();
+    RowStoreNodes.await(() -> statusOf(path) == status);
   }
 
   @Test
@@ -225,12 +177,7 @@
   void rewritesItsRowAfterRemoval() {
     store.remove("nodes", "second");
     await("/far/x", OK);
-    Mono.fromSupplier(() -> store.value("nodes", "second").isDefined())
-        .filter(exists -> exists)
-        .repeatWhenEmpty(
-            repeats -> repeats.delayElements(RETRY_PERIOD, Schedulers.boundedElastic()))
-        .timeout(TIMEOUT)
-        .block();
+    RowStoreNodes.await(() -> store.value("nodes", "second").isDefined());
   }
 
   /** Starts an action in the background and returns its result. */
@@ -253,14 +200,14 @@
    * of a node ends.
    */
   private int statusOfRequestInFlightDuringStopOf(Node node) {
-    NetworkAddress ingress = new NetworkAddress("127.0.0.1", node.ports().block(TIMEOUT).ingress());
+    NetworkAddress ingress = RowStoreNodes.ingressAddress(node);
     int requestsBefore = remoteServer.requestCount();
     Runnable release = remoteServer.holdResponses();
     Mono<Integer> status = runInBackground(sendRequest("/far/x", "k"));
-    await(() -> remoteServer.requestCount() > requestsBefore);
+    RowStoreNodes.await(() -> remoteServer.requestCount() > requestsBefore);
 
     Mono<Void> stopped = runInBackground(Mono.fromRunnable(node::stop));
-    await(() -> !acceptsConnections(ingress));
+    RowStoreNodes.await(() -> !acceptsConnections(ingress));
     release.run();
 
     int result = status.block(TIMEOUT);
--- a/policy/src/main/java/org/clementinepost/policy/host/Announcement.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/Announcement.java
@@ -1,6 +1,7 @@
 package org.clementinepost.policy.host;
 
 import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.ServiceId;
@@ -32,6 +33,12 @@
     long coldRemainingMillis,
     Option<AnnouncementOrder> order) {
 
+  /** The most slots of a backend server, so that those of a whole service can be added up. */
+  public static final int MAX_SLOTS = 100_000;
+
+  /** The longest cold start, in milliseconds. */
+  public static final long MAX_COLD_REMAINING_MILLIS = TimeUnit.DAYS.toMillis(1);
+
   private static final NetworkAddress NO_ADDRESS = new NetworkAddress("", 0);
 
   /** Creates the last announcement of a backend server that is shutting down. */
--- a/storage/src/main/java/org/clementinepost/storage/rows/JsonFields.java
+++ b/storage/src/main/java/org/clementinepost/storage/rows/JsonFields.java
@@ -1,7 +1,9 @@
 package org.clementinepost.storage.rows;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.util.NetUtil;
 import io.vavr.control.Option;
+import org.clementinepost.api.NetworkAddress;
 
 /**
  * Reads required fields of JSON objects.
@@ -39,15 +41,42 @@
     return (int) value;
   }
 
-  /** Returns a number that is not negative. */
+  /** Returns an integer from {@code min} up to {@code max}. */
+  public static int requireIntBetween(JsonNode node, String field, int min, int max) {
+    int value = requireIntAtLeast(node, field, min);
+    if (value > max) {
+      throw new IllegalArgumentException(field + " is out of bounds");
+    }
+    return value;
+  }
+
+  /** Returns an integer from {@code min} up to {@code max}. */
+  public static long requireLongBetween(JsonNode node, String field, long min, long max) {
+    long value = requireLong(node, field);
+    if (value < min || value > max) {
+      throw new IllegalArgumentException(field + " is out of bounds");
+    }
+    return value;
+  }
+
+  /** Returns a finite number that is not negative. */
   public static double requireNonNegativeNumber(JsonNode node, String field) {
     JsonNode value = node.path(field);
-    if (!value.isNumber() || value.asDouble() < 0) {
+    if (!value.isNumber() || !Double.isFinite(value.asDouble()) || value.asDouble() < 0) {
       throw new IllegalArgumentException(field + " must be a non-negative number");
     }
     return value.asDouble();
   }
 
+  /** Returns an address with an IP number, to which a connection needs no name lookup. */
+  public static NetworkAddress requireIpAddress(JsonNode node, String field) {
+    NetworkAddress address = NetworkAddress.parse(requireText(node, field));
+    if (address.port() == 0 || !NetUtil.isValidIpV4Address(address.host())) {
+      throw new IllegalArgumentException(field + " must be an IPv4 address and a port");
+    }
+    return address;
+  }
+
   /** Returns an array. */
   public static JsonNode requireArray(JsonNode node, String field) {
     JsonNode value = node.path(field);
