Reject requests whose host, key or framing is ambiguous; accept absolute targets

Cause: requests without a Host field, with two, with two Authorization fields or with an unknown transfer coding were served; the bytes after the last of these were read as the next request. An absolute-form target was refused, and an overlong chunk header was answered 414.

Change: RequestSyntax answers 400 (1001) or 501 (1006, new) and closes the connection; RequestTarget reads both forms; an overlong chunk header is 400.

--- a/api/src/main/java/org/clementinepost/api/ResultCode.java
+++ b/api/src/main/java/org/clementinepost/api/ResultCode.java
@@ -17,6 +17,8 @@
   BODY_TOO_LARGE(1003, 413, 10, RunState.NOT_RUN, "The request's body is too large"),
   REQUEST_TIMED_OUT(1004, 408, 10, RunState.NOT_RUN, "The caller sent too slowly"),
   DEADLINE_PASSED(1005, 503, 10, RunState.NOT_RUN, "The deadline passed before the request ran"),
+  TRANSFER_CODING_UNKNOWN(
+      1006, 501, 10, RunState.NOT_RUN, "The body's transfer coding is not known"),
   KEY_MISSING(1101, 401, 11, RunState.NOT_RUN, "The route asks for a key and none came"),
   KEY_UNKNOWN(1102, 401, 11, RunState.NOT_RUN, "The key is unknown or withdrawn"),
   CUSTOMER_NOT_ALLOWED(1103, 403, 11, RunState.NOT_RUN, "The route is closed to this customer"),
--- a/node/src/main/java/org/clementinepost/node/edge/CallerConnection.java
+++ b/node/src/main/java/org/clementinepost/node/edge/CallerConnection.java
@@ -4,10 +4,14 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.function.BooleanSupplier;
 import reactor.netty.NettyPipeline;
 
@@ -71,9 +75,23 @@
     if (message instanceof HttpRequest) {
       inFlight++;
     }
+    if (message instanceof HttpContent content) {
+      reportLongLineAsBadChunk(content);
+    }
     super.channelRead(context, message);
   }
 
+  /**
+   * Marks a body whose chunk header is too long as malformed; the HTTP library would otherwise
+   * report that the request line is too long.
+   */
+  private static void reportLongLineAsBadChunk(HttpContent content) {
+    if (content.decoderResult().cause() instanceof TooLongHttpLineException) {
+      content.setDecoderResult(
+          DecoderResult.failure(new CorruptedFrameException("chunk header too long")));
+    }
+  }
+
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
       throws Exception {
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -6,6 +6,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -108,6 +109,11 @@
       return writeResponse(
           id, request, response, Either.left(Failure.of(ResultCode.NODE_STOPPING)), startedNanos);
     }
+    Option<Failure> problem = RequestSyntax.findProblem(request);
+    if (problem.isDefined()) {
+      response.keepAlive(false);
+      return writeResponse(id, request, response, Either.left(problem.get()), startedNanos);
+    }
     RequestBody body =
         new RequestBody(request.receive().asByteArray().map(Chunk::wrap), limits.maxBodyBytes());
     return body.checkLength(incoming.bodyBytes())
--- a/node/src/main/java/org/clementinepost/node/edge/RequestReader.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestReader.java
@@ -49,26 +49,21 @@
 
   IncomingRequest read(RequestId id, HttpServerRequest request, double randomFraction) {
     HttpHeaders headers = request.requestHeaders();
+    RequestTarget target = RequestTarget.of(request.uri(), headers.get(HttpHeaderNames.HOST, ""));
     return new IncomingRequest(
         id,
         ApiKeyHash.fromAuthorizationHeader(headers.get(HttpHeaderNames.AUTHORIZATION)),
-        host(headers),
+        target.host(),
         localService,
         randomFraction,
         request.method().name(),
-        request.uri(),
+        target.uri(),
         forwardedHeaders(headers),
         Option.of(headers.get(IDEMPOTENCY_KEY_HEADER)),
         timeoutMillis(headers),
         bodyBytes(headers));
   }
 
-  private static String host(HttpHeaders headers) {
-    String host = headers.get(HttpHeaderNames.HOST, "");
-    int colon = host.indexOf(':');
-    return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
-  }
-
   private Vector<HeaderField> forwardedHeaders(HttpHeaders headers) {
     return HopByHopHeaders.strip(headers)
         .reject(field -> isNotForwarded(field.name().toLowerCase(Locale.ROOT)));
