Queue requests by predicted wait; judge timeouts by the time a request was given

Cause: a request waited up to a quarter of its target latency and was refused only then, although the host knew its slots and the work in hand; a full queue refused an urgent newcomer while less urgent requests waited.

Change: the host learns the run time by kind of request. QueuePolicy admits to the queue what can meet its target latency and its timeout by WaitPrediction and refuses the rest at once; calls of backend servers go first, then priority, then arrival; a full queue gives way from its least urgent end. A timeout counts against a server only after twice the usual run time, or the target latency while that is unknown. HostState and HostedServer get builders.

--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -3,8 +3,6 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.util.concurrent.TimeUnit;
-import org.clementinepost.api.AdmissionMode;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.FailureDomainId;
@@ -16,25 +14,10 @@
  * Decides which requests are sent to a backend server, which wait for a slot, and which are
  * refused.
  *
- * <p>A request waits at most a fraction of its target latency, since a later response is worth
- * less. Waiting requests are admitted in order of priority, then of arrival. A request that is
- * refused here has not run.
+ * <p>{@link QueuePolicy} decides which requests wait. Waiting requests are admitted in order of
+ * urgency. A request that is refused here has not run.
  */
 final class AdmissionPolicy {
-  /** A request waits at most its target latency divided by this. */
-  private static final int MAX_WAIT_DIVISOR = 4;
-
-  /**
-   * The time that remains before a request's timeout when it stops waiting.
-   *
-   * <p>Waiting requests are checked every 50 ms. The ingress must receive the host's refusal, which
-   * states that the request has not run, before it times the request out with an unknown run state.
-   */
-  private static final long MIN_REMAINING_MILLIS = 100;
-
-  /** The maximum number of waiting requests per slot of a backend server. */
-  private static final int MAX_WAITING_PER_SLOT = 1;
-
   private final FailureDomainId domain;
 
   AdmissionPolicy(FailureDomainId domain) {
@@ -53,30 +36,7 @@
     if (hasCapacity(state, server.get(), admit.nowNanos())) {
       return grant(state, server.get(), admit, admit.nowNanos());
     }
-    long maxWaitNanos = maxWaitNanos(admit);
-    int waiting = state.waiting().count(w -> w.admit().server().equals(admit.server()));
-    int maxWaiting = server.get().announcement().slots() * MAX_WAITING_PER_SLOT;
-    if (maxWaitNanos == 0 || waiting >= maxWaiting) {
-      return Step.to(
-          state, refusal(admit, Failure.of(ResultCode.HOST_QUEUE_FULL, admit.server().value())));
-    }
-    WaitingRequest request = new WaitingRequest(admit, admit.nowNanos() + maxWaitNanos);
-    return Step.to(
-        state.withWaiting(
-            state.waiting().append(request).sorted(WaitingRequest.BY_PRIORITY_THEN_ARRIVAL)));
-  }
-
-  private static AdmissionMode admissionMode(HostEvent.Admit admit) {
-    return admit.head().options().admissionMode();
-  }
-
-  private static long maxWaitNanos(HostEvent.Admit admit) {
-    if (admissionMode(admit) == AdmissionMode.FREE_SLOT_ONLY) {
-      return 0;
-    }
-    long maxWaitMillis = admit.head().options().targetLatencyMillis() / MAX_WAIT_DIVISOR;
-    long remainingMillis = admit.head().timeoutMillis() - MIN_REMAINING_MILLIS;
-    return TimeUnit.MILLISECONDS.toNanos(Math.max(0, Math.min(maxWaitMillis, remainingMillis)));
+    return QueuePolicy.enqueue(state, server.get(), admit);
   }
 
   /** Returns the backend server if it accepts requests at all, or why it does not. */
@@ -122,12 +82,12 @@
     Admission admission =
         new Admission(state.nextAdmissionId(), admit.server(), server.announcement().address());
     return Step.to(
-        state.withAdmission(server.withAdmission(nowNanos)),
+        state.withAdmission(server.withAdmission(nowNanos), RequestKind.of(admit.head()), nowNanos),
         new HostEffect.AdmissionDecided(
             admit.server(), admit.head(), Either.right(admission), admit.reply()));
   }
 
-  private static HostEffect refusal(HostEvent.Admit admit, Failure failure) {
+  static HostEffect refusal(HostEvent.Admit admit, Failure failure) {
     return new HostEffect.AdmissionDecided(
         admit.server(), admit.head(), Either.left(failure), admit.reply());
   }
--- a/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
@@ -63,7 +63,11 @@
     Step<HostState, HostEffect> step =
         reportInFlightIfStopping(admissionPolicy.processQueue(next, ended.nowNanos()));
     Option<HostedServer> server =
-        state.admissions().get(ended.admissionId()).flatMap(next.servers()::get);
+        state
+            .admissions()
+            .get(ended.admissionId())
+            .map(AdmittedRequest::server)
+            .flatMap(next.servers()::get);
     boolean suspectedBefore = server.exists(s -> isSuspected(state, s.announcement().server()));
     boolean suspectedAfter = server.exists(s -> s.health().suspected());
     return suspectedBefore == suspectedAfter
--- a/policy/src/main/java/org/clementinepost/policy/host/HostState.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostState.java
@@ -14,9 +14,9 @@
  * @param servers the backend servers that have announced themselves or were discovered
  * @param departed the backend servers that have left; announcements up to the given position are
  *     ignored
- * @param admissions the backend server of each request in flight, by the id of the admission
+ * @param admissions the requests in flight, by the id of the admission
  * @param nextAdmissionId the id of the next admission
- * @param waiting the requests that wait for a slot, the highest priority first
+ * @param waiting the requests that wait for a slot, the most urgent first
  * @param snapshot the current configuration
  * @param lastOutgoingCallFailureNanos when a call from a backend server of this VM to another
  *     service last failed
@@ -25,7 +25,7 @@
 public record HostState(
     Map<BackendServerId, HostedServer> servers,
     Map<BackendServerId, AnnouncementOrder> departed,
-    Map<Long, BackendServerId> admissions,
+    Map<Long, AdmittedRequest> admissions,
     long nextAdmissionId,
     Vector<WaitingRequest> waiting,
     Snapshot snapshot,
@@ -52,106 +52,144 @@
   }
 
   HostState withServers(Map<BackendServerId, HostedServer> next) {
-    return new HostState(
-        next,
-        departed,
-        admissions,
-        nextAdmissionId,
-        waiting,
-        snapshot,
-        lastOutgoingCallFailureNanos,
-        stopListener);
+    return toBuilder().servers(next).build();
   }
 
   HostState withDeparted(Map<BackendServerId, AnnouncementOrder> next) {
-    return new HostState(
-        servers,
-        next,
-        admissions,
-        nextAdmissionId,
-        waiting,
-        snapshot,
-        lastOutgoingCallFailureNanos,
-        stopListener);
+    return toBuilder().departed(next).build();
   }
 
   HostState withSnapshot(Snapshot next) {
-    return new HostState(
-        servers,
-        departed,
-        admissions,
-        nextAdmissionId,
-        waiting,
-        next,
-        lastOutgoingCallFailureNanos,
-        stopListener);
+    return toBuilder().snapshot(next).build();
   }
 
   HostState withWaiting(Vector<WaitingRequest> next) {
-    return new HostState(
-        servers,
-        departed,
-        admissions,
-        nextAdmissionId,
-        next,
-        snapshot,
-        lastOutgoingCallFailureNanos,
-        stopListener);
+    return toBuilder().waiting(next).build();
   }
 
   HostState withOutgoingCallFailure(long nowNanos) {
-    return new HostState(
-        servers, departed, admissions, nextAdmissionId, waiting, snapshot, nowNanos, stopListener);
+    return toBuilder().lastOutgoingCallFailureNanos(nowNanos).build();
   }
 
   HostState withStopListener(IntConsumer next) {
-    return new HostState(
-        servers,
-        departed,
-        admissions,
-        nextAdmissionId,
-        waiting,
-        snapshot,
-        lastOutgoingCallFailureNanos,
-        Option.some(next));
+    return toBuilder().stopListener(Option.some(next)).build();
   }
 
-  HostState withAdmission(HostedServer server) {
+  HostState withAdmission(HostedServer server, RequestKind kind, long nowNanos) {
     BackendServerId id = server.announcement().server();
-    return new HostState(
-        servers.put(id, server),
-        departed,
-        admissions.put(nextAdmissionId, id),
-        nextAdmissionId + 1,
-        waiting,
-        snapshot,
-        lastOutgoingCallFailureNanos,
-        stopListener);
+    return toBuilder()
+        .servers(servers.put(id, server))
+        .admissions(admissions.put(nextAdmissionId, new AdmittedRequest(id, kind, nowNanos)))
+        .nextAdmissionId(nextAdmissionId + 1)
+        .build();
   }
 
   HostState withRequestEnded(HostEvent.RequestEnded ended) {
-    Option<BackendServerId> id = admissions.get(ended.admissionId());
-    Map<BackendServerId, HostedServer> updated =
-        id.flatMap(servers::get)
-            .map(server -> servers.put(id.get(), withOutcome(server.withSlotReleased(), ended)))
-            .getOrElse(servers);
-    return new HostState(
-        updated,
-        departed,
-        admissions.remove(ended.admissionId()),
-        nextAdmissionId,
-        waiting,
-        snapshot,
-        lastOutgoingCallFailureNanos,
-        stopListener);
+    HostState released = toBuilder().admissions(admissions.remove(ended.admissionId())).build();
+    for (AdmittedRequest request : admissions.get(ended.admissionId())) {
+      for (HostedServer server : servers.get(request.server())) {
+        return released.withServer(withOutcome(server.withSlotReleased(), request, ended));
+      }
+    }
+    return released;
+  }
+
+  private HostedServer withOutcome(
+      HostedServer server, AdmittedRequest request, HostEvent.RequestEnded ended) {
+    Option<Boolean> outcome =
+        RequestOutcomePolicy.classify(
+            ended,
+            lastOutgoingCallFailureNanos,
+            server.runTimes().expectedNanos(request.kind()),
+            request.kind().targetLatencyMillis());
+    if (outcome.isEmpty()) {
+      return server;
+    }
+    boolean success = outcome.get();
+    HostedServer judged =
+        server.withHealth(
+            server.health().withOutcome(success, ended.sentNanos(), ended.nowNanos()));
+    return success
+        ? judged.withRunTimes(judged.runTimes().withRun(request.kind(), ended.serverMicros()))
+        : judged;
+  }
+
+  private Builder toBuilder() {
+    return new Builder(this);
   }
 
-  private HostedServer withOutcome(HostedServer server, HostEvent.RequestEnded ended) {
-    return RequestOutcomePolicy.classify(ended, lastOutgoingCallFailureNanos)
-        .map(
-            success ->
-                server.withHealth(
-                    server.health().withOutcome(success, ended.sentNanos(), ended.nowNanos())))
-        .getOrElse(server);
+  /** Builds a copy with other values. */
+  private static final class Builder {
+    private Map<BackendServerId, HostedServer> servers;
+    private Map<BackendServerId, AnnouncementOrder> departed;
+    private Map<Long, AdmittedRequest> admissions;
+    private long nextAdmissionId;
+    private Vector<WaitingRequest> waiting;
+    private Snapshot snapshot;
+    private long lastOutgoingCallFailureNanos;
+    private Option<IntConsumer> stopListener;
+
+    private Builder(HostState state) {
+      servers = state.servers;
+      departed = state.departed;
+      admissions = state.admissions;
+      nextAdmissionId = state.nextAdmissionId;
+      waiting = state.waiting;
+      snapshot = state.snapshot;
+      lastOutgoingCallFailureNanos = state.lastOutgoingCallFailureNanos;
+      stopListener = state.stopListener;
+    }
+
+    Builder servers(Map<BackendServerId, HostedServer> next) {
+      servers = next;
+      return this;
+    }
+
+    Builder departed(Map<BackendServerId, AnnouncementOrder> next) {
+      departed = next;
+      return this;
+    }
+
+    Builder admissions(Map<Long, AdmittedRequest> next) {
+      admissions = next;
+      return this;
+    }
+
+    Builder nextAdmissionId(long next) {
+      nextAdmissionId = next;
+      return this;
+    }
+
+    Builder waiting(Vector<WaitingRequest> next) {
+      waiting = next;
+      return this;
+    }
+
+    Builder snapshot(Snapshot next) {
+      snapshot = next;
+      return this;
+    }
+
+    Builder lastOutgoingCallFailureNanos(long next) {
+      lastOutgoingCallFailureNanos = next;
+      return this;
+    }
+
+    Builder stopListener(Option<IntConsumer> next) {
+      stopListener = next;
+      return this;
+    }
+
+    HostState build() {
+      return new HostState(
+          servers,
+          departed,
+          admissions,
+          nextAdmissionId,
+          waiting,
+          snapshot,
+          lastOutgoingCallFailureNanos,
+          stopListener);
+    }
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
@@ -13,6 +13,7 @@
  * @param recentAdmissionsNanos the times of the admissions in the last second, oldest first
  * @param lastAdmittedNanos when a request was last admitted, or when the server became known
  * @param health its health, as observed from its responses
+ * @param runTimes the time that it usually takes for a request
  */
 public record HostedServer(
     Announcement announcement,
@@ -21,61 +22,54 @@
     long coldUntilNanos,
     Vector<Long> recentAdmissionsNanos,
     long lastAdmittedNanos,
-    ServerHealth health) {
+    ServerHealth health,
+    RunTimes runTimes) {
   static final long RATE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   /** Creates a backend server that has just become known. */
   static HostedServer of(Announcement announcement, long nowNanos) {
     return new HostedServer(
-            announcement, nowNanos, 0, 0, Vector.empty(), nowNanos, ServerHealth.INITIAL)
+            announcement,
+            nowNanos,
+            0,
+            0,
+            Vector.empty(),
+            nowNanos,
+            ServerHealth.INITIAL,
+            RunTimes.UNKNOWN)
         .withAnnouncement(announcement, nowNanos);
   }
 
   HostedServer withAnnouncement(Announcement next, long nowNanos) {
     long coldNanos = TimeUnit.MILLISECONDS.toNanos(next.coldRemainingMillis());
-    return new HostedServer(
-        next,
-        nowNanos,
-        inFlight,
-        nowNanos + coldNanos,
-        recentAdmissionsNanos,
-        lastAdmittedNanos,
-        health);
+    return toBuilder()
+        .announcement(next)
+        .lastAnnouncedNanos(nowNanos)
+        .coldUntilNanos(nowNanos + coldNanos)
+        .build();
   }
 
   HostedServer withAdmission(long nowNanos) {
     Vector<Long> recent =
         recentAdmissionsNanos.dropWhile(admitted -> nowNanos - admitted >= RATE_WINDOW_NANOS);
-    return new HostedServer(
-        announcement,
-        lastAnnouncedNanos,
-        inFlight + 1,
-        coldUntilNanos,
-        recent.append(nowNanos),
-        nowNanos,
-        health.withRequestSent(nowNanos));
+    return toBuilder()
+        .inFlight(inFlight + 1)
+        .recentAdmissionsNanos(recent.append(nowNanos))
+        .lastAdmittedNanos(nowNanos)
+        .health(health.withRequestSent(nowNanos))
+        .build();
   }
 
   HostedServer withSlotReleased() {
-    return new HostedServer(
-        announcement,
-        lastAnnouncedNanos,
-        Math.max(0, inFlight - 1),
-        coldUntilNanos,
-        recentAdmissionsNanos,
-        lastAdmittedNanos,
-        health);
+    return toBuilder().inFlight(Math.max(0, inFlight - 1)).build();
   }
 
   HostedServer withHealth(ServerHealth next) {
-    return new HostedServer(
-        announcement,
-        lastAnnouncedNanos,
-        inFlight,
-        coldUntilNanos,
-        recentAdmissionsNanos,
-        lastAdmittedNanos,
-        next);
+    return toBuilder().health(next).build();
+  }
+
+  HostedServer withRunTimes(RunTimes next) {
+    return toBuilder().runTimes(next).build();
   }
 
   boolean isServing() {
@@ -94,4 +88,83 @@
   int countAdmissionsWithin(long windowNanos, long nowNanos) {
     return recentAdmissionsNanos.count(admitted -> nowNanos - admitted < windowNanos);
   }
+
+  private Builder toBuilder() {
+    return new Builder(this);
+  }
+
+  /** Builds a copy with other values. */
+  private static final class Builder {
+    private Announcement announcement;
+    private long lastAnnouncedNanos;
+    private int inFlight;
+    private long coldUntilNanos;
+    private Vector<Long> recentAdmissionsNanos;
+    private long lastAdmittedNanos;
+    private ServerHealth health;
+    private RunTimes runTimes;
+
+    private Builder(HostedServer server) {
+      announcement = server.announcement;
+      lastAnnouncedNanos = server.lastAnnouncedNanos;
+      inFlight = server.inFlight;
+      coldUntilNanos = server.coldUntilNanos;
+      recentAdmissionsNanos = server.recentAdmissionsNanos;
+      lastAdmittedNanos = server.lastAdmittedNanos;
+      health = server.health;
+      runTimes = server.runTimes;
+    }
+
+    Builder announcement(Announcement next) {
+      announcement = next;
+      return this;
+    }
+
+    Builder lastAnnouncedNanos(long next) {
+      lastAnnouncedNanos = next;
+      return this;
+    }
+
+    Builder inFlight(int next) {
+      inFlight = next;
+      return this;
+    }
+
+    Builder coldUntilNanos(long next) {
+      coldUntilNanos = next;
+      return this;
+    }
+
+    Builder recentAdmissionsNanos(Vector<Long> next) {
+      recentAdmissionsNanos = next;
+      return this;
+    }
+
+    Builder lastAdmittedNanos(long next) {
+      lastAdmittedNanos = next;
+      return this;
+    }
+
+    Builder health(ServerHealth next) {
+      health = next;
+      return this;
+    }
+
+    Builder runTimes(RunTimes next) {
+      runTimes = next;
+      return this;
+    }
+
+    HostedServer build() {
+      return new HostedServer(
+          announcement,
+          lastAnnouncedNanos,
+          inFlight,
+          coldUntilNanos,
+          recentAdmissionsNanos,
+          lastAdmittedNanos,
+          health,
+          runTimes);
+    }
+  }
 }
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/QueuePolicy.java
@@ -0,0 +1,83 @@
+package org.clementinepost.policy.host;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
+import org.clementinepost.api.AdmissionMode;
+import org.clementinepost.api.Failure;
+import org.clementinepost.api.ResultCode;
+import org.clementinepost.kernel.Step;
+
+/**
+ * Decides which requests wait for a slot of a backend server, and which are refused at once.
+ *
+ * <p>It answers a burst above the capacity of a service: a request waits if its response can still
+ * meet the target latency, by the prediction of {@link WaitPrediction}. A full queue gives way from
+ * its least urgent end, so that requests of low priority do not keep out those of high priority.
+ */
+final class QueuePolicy {
+  /** The part of the target latency that a request may wait while run times are unknown. */
+  private static final int UNPREDICTED_WAIT_DIVISOR = 4;
+
+  /** The part of the target latency that a request may wait beyond its predicted wait. */
+  private static final int PREDICTION_TOLERANCE_DIVISOR = 8;
+
+  /**
+   * The time that remains before a request's timeout when it stops waiting.
+   *
+   * <p>Waiting requests are checked every 50 ms. The ingress must receive the host's refusal, which
+   * states that the request has not run, before it times the request out with an unknown run state.
+   */
+  private static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** The maximum number of waiting requests per slot of a backend server. */
+  private static final int MAX_WAITING_PER_SLOT = 2;
+
+  private QueuePolicy() {}
+
+  /** Adds a request to the queue of its backend server, or refuses it. */
+  static Step<HostState, HostEffect> enqueue(
+      HostState state, HostedServer server, HostEvent.Admit admit) {
+    long maxWaitNanos = maxWaitNanos(state, server, admit);
+    if (maxWaitNanos <= 0) {
+      return Step.to(state, queueFull(admit));
+    }
+    WaitingRequest request = new WaitingRequest(admit, admit.nowNanos() + maxWaitNanos);
+    Vector<WaitingRequest> queue =
+        state.waiting().append(request).sorted(WaitingRequest.BY_URGENCY);
+    Vector<WaitingRequest> ofServer =
+        queue.filter(waiting -> waiting.admit().server().equals(admit.server()));
+    if (ofServer.size() <= server.announcement().slots() * MAX_WAITING_PER_SLOT) {
+      return Step.to(state.withWaiting(queue));
+    }
+    WaitingRequest leastUrgent = ofServer.last();
+    return Step.to(state.withWaiting(queue.remove(leastUrgent)), queueFull(leastUrgent.admit()));
+  }
+
+  private static HostEffect queueFull(HostEvent.Admit admit) {
+    return AdmissionPolicy.refusal(
+        admit, Failure.of(ResultCode.HOST_QUEUE_FULL, admit.server().value()));
+  }
+
+  /** Returns how long the request may wait; zero or less if it must not wait at all. */
+  private static long maxWaitNanos(HostState state, HostedServer server, HostEvent.Admit admit) {
+    if (admit.head().options().admissionMode() == AdmissionMode.FREE_SLOT_ONLY) {
+      return 0;
+    }
+    WaitingRequest request = new WaitingRequest(admit, admit.nowNanos());
+    long targetNanos = TimeUnit.MILLISECONDS.toNanos(admit.head().options().targetLatencyMillis());
+    long timeoutNanos =
+        TimeUnit.MILLISECONDS.toNanos(admit.head().timeoutMillis()) - MIN_REMAINING_NANOS;
+    Option<Long> predictedNanos =
+        WaitPrediction.waitNanos(state, server, request, admit.nowNanos());
+    if (predictedNanos.isEmpty()) {
+      return Math.min(targetNanos / UNPREDICTED_WAIT_DIVISOR, timeoutNanos);
+    }
+    long runNanos = server.runTimes().expectedNanos(request.kind()).getOrElse(0L);
+    long limitNanos = Math.min(targetNanos, timeoutNanos) - runNanos;
+    if (predictedNanos.get() > limitNanos) {
+      return 0;
+    }
+    return Math.min(limitNanos, predictedNanos.get() + targetNanos / PREDICTION_TOLERANCE_DIVISOR);
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/host/RequestKind.java
@@ -0,0 +1,17 @@
+package org.clementinepost.policy.host;
+
+import org.clementinepost.api.RequestHead;
+
+/**
+ * What a host can tell of a request's route. Requests of one kind take about the same time.
+ *
+ * @param idempotent whether the request may run more than once
+ * @param priority the priority of the request
+ * @param targetLatencyMillis the latency target of the request
+ */
+record RequestKind(boolean idempotent, int priority, long targetLatencyMillis) {
+  static RequestKind of(RequestHead head) {
+    return new RequestKind(
+        head.idempotent(), head.options().priority(), head.options().targetLatencyMillis());
+  }
+}
--- a/policy/src/main/java/org/clementinepost/policy/host/WaitingRequest.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/WaitingRequest.java
@@ -1,6 +1,7 @@
 package org.clementinepost.policy.host;
 
 import java.util.Comparator;
+import org.clementinepost.api.RequestHead;
 
 /**
  * A request that waits at its host for a slot.
@@ -9,8 +10,21 @@
  * @param waitDeadlineNanos when it is refused, since another host is then a better choice
  */
 record WaitingRequest(HostEvent.Admit admit, long waitDeadlineNanos) {
-  /** The highest priority first; within the same priority, the earliest arrival first. */
-  static final Comparator<WaitingRequest> BY_PRIORITY_THEN_ARRIVAL =
-      Comparator.<WaitingRequest>comparingInt(w -> w.admit().head().options().priority())
+  /**
+   * Calls of backend servers first, since refusing one wastes the work of the request that made it;
+   * then the highest priority, then the earliest arrival.
+   */
+  static final Comparator<WaitingRequest> BY_URGENCY =
+      Comparator.<WaitingRequest, Boolean>comparing(w -> !isCallOfServer(w.admit().head()))
+          .thenComparingInt(w -> w.admit().head().options().priority())
           .thenComparingLong(w -> w.admit().nowNanos());
+
+  RequestKind kind() {
+    return RequestKind.of(admit.head());
+  }
+
+  /** A backend server calls other services without a key. */
+  private static boolean isCallOfServer(RequestHead head) {
+    return head.customer().isEmpty() && head.options().callingService().isDefined();
+  }
 }
--- a/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -6,122 +6,16 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import org.clementinepost.api.AdmissionMode;
-import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Failure;
-import org.clementinepost.api.FailureDomainId;
-import org.clementinepost.api.NetworkAddress;
-import org.clementinepost.api.RequestHead;
-import org.clementinepost.api.RequestId;
-import org.clementinepost.api.RequestOptions;
 import org.clementinepost.api.ResultCode;
-import org.clementinepost.api.ServiceId;
 import org.clementinepost.api.config.FailureDomain;
 import org.clementinepost.api.config.Service;
 import org.clementinepost.api.config.Snapshot;
-import org.clementinepost.kernel.Step;
 import org.junit.jupiter.api.Test;
 
-final class HostPolicyTest {
-  private static final FailureDomainId DOMAIN = new FailureDomainId("a");
-  private static final BackendServerId SERVER = new BackendServerId("s-1");
-  private static final ServiceId SERVICE = new ServiceId("desk");
-  private static final NetworkAddress ADDRESS = new NetworkAddress("10.0.0.1", 80);
-  private static final int SLOTS = 2;
-  private static final long TARGET_MILLIS = 1_000;
-
-  private final HostPolicy policy = new HostPolicy(DOMAIN);
-  private final List<String> results = new ArrayList<>();
-  private HostState state = HostState.empty();
-  private long nowMillis = 10_000;
-
-  private static Announcement announcement(
-      String id,
-      Announcement.State serverState,
-      long coldMillis,
-      long serverStartMillis,
-      long sequenceNumber) {
-    return new Announcement(
-        new BackendServerId(id),
-        SERVICE,
-        ADDRESS,
-        SLOTS,
-        100,
-        serverState,
-        0,
-        0,
-        coldMillis,
-        Option.some(new AnnouncementOrder(serverStartMillis, sequenceNumber)));
-  }
-
-  private Vector<HostEffect> decide(HostEvent event) {
-    Step<HostState, HostEffect> step = policy.decide(state, event);
-    state = step.state();
-    for (HostEffect effect : step.effects()) {
-      if (effect instanceof HostEffect.AdmissionDecided decided) {
-        decided.reply().send(decided.result());
-      }
-    }
-    return step.effects();
-  }
-
-  private long nowNanos() {
-    return TimeUnit.MILLISECONDS.toNanos(nowMillis);
-  }
-
-  private void announce(Announcement announcement) {
-    decide(new HostEvent.Announced(announcement, nowNanos()));
-  }
-
-  private void announce() {
-    announce(announcement("s-1", Announcement.State.SERVING, 0, 1, 1));
-  }
-
-  private void admit(String id, boolean idempotent, int priority, AdmissionMode admissionMode) {
-    admit(id, idempotent, priority, admissionMode, 5_000);
-  }
-
-  private void admit(
-      String id,
-      boolean idempotent,
-      int priority,
-      AdmissionMode admissionMode,
-      long timeoutMillis) {
-    RequestHead head =
-        new RequestHead(
-            new RequestId(id),
-            1,
-            Option.none(),
-            SERVICE,
-            "GET",
-            "/",
-            Vector.empty(),
-            idempotent,
-            Option.none(),
-            timeoutMillis,
-            0,
-            new RequestOptions(priority, TARGET_MILLIS, 2, Option.none(), admissionMode));
-    decide(
-        new HostEvent.Admit(
-            SERVER, head, nowNanos(), result -> results.add(id + " " + resultText(result))));
-  }
-
-  private void admit(String id) {
-    admit(id, true, 1, AdmissionMode.FREE_SLOT_ONLY);
-  }
-
-  private static String resultText(Either<Failure, Admission> result) {
-    return result.fold(failure -> failure.code().name(), admission -> "ok");
-  }
-
-  private void endRequest(long admission, int status) {
-    decide(new HostEvent.RequestEnded(admission, Option.none(), status, 100, nowNanos()));
-  }
-
+final class HostPolicyTest extends HostFixture {
   private static Announcement discoveredServer() {
     return announcement("s-1", Announcement.State.SERVING, 0, 0, 0);
   }
