Bound retries over the whole fleet by settings, and charge only those that arrive

Cause: each node held 2 retries a service at its start and earned 0.15 for each placement, so that the sum over the nodes depended on the fleet's size, a restart filled the budget again, and a request that several hosts refused earned several times. A retry that its host refused was spent all the same.

Change: retries.fraction and retries.burst bound the fleet; a node's part follows from the number of nodes; half of it is kept for a restart. A token is earned by a first attempt that reached its server, and given back by a retry that did not.

--- a/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/SimulatedNode.java
+++ b/benchmarks/src/main/java/org/clementinepost/benchmarks/measures/SimulatedNode.java
@@ -140,6 +140,7 @@
     onEvent(
         new RoutingEvent.AttemptEnded(
             attempt.placement().endpoint(),
+            attempt.head().attempt(),
             result.failure(),
             result.status(),
             result.serverMicros(),
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -77,7 +77,7 @@
             .service(MetricsService.definition());
     platformAdapter.services().apply(self).forEach(builder::service);
     return builder
-        .service(RoutingService.definition(self))
+        .service(RoutingService.definition(self, settings.retryBound()))
         .service(HostService.definition(self))
         .service(
             ExchangeService.definition(settings.connectionsPerServer(), platformAdapter.dialect()))
--- a/node/src/main/java/org/clementinepost/node/directory/TableDirectoryService.java
+++ b/node/src/main/java/org/clementinepost/node/directory/TableDirectoryService.java
@@ -200,6 +200,10 @@
         .registry()
         .find(QuotaService.NAME)
         .send(new QuotaServiceMessage.NodeCountChanged(members.size() + 1));
+    context
+        .registry()
+        .find(RoutingService.NAME)
+        .send(new RoutingMessage.NodeCountChanged(members.size() + 1));
   }
 
   /** Sends changes of members and endpoints to the other services of this node. */
--- a/node/src/main/java/org/clementinepost/node/edge/AttemptReporter.java
+++ b/node/src/main/java/org/clementinepost/node/edge/AttemptReporter.java
@@ -22,13 +22,16 @@
 
   private final Address<RoutingMessage> routing;
   private final Endpoint endpoint;
+  private final int attempt;
   private final MonotonicClock clock;
   private final long startedNanos;
   private final AtomicBoolean reported = new AtomicBoolean();
 
-  AttemptReporter(Address<RoutingMessage> routing, Endpoint endpoint, MonotonicClock clock) {
+  AttemptReporter(
+      Address<RoutingMessage> routing, Endpoint endpoint, int attempt, MonotonicClock clock) {
     this.routing = routing;
     this.endpoint = endpoint;
+    this.attempt = attempt;
     this.clock = clock;
     this.startedNanos = clock.nowNanos();
   }
@@ -62,7 +65,7 @@
   private void report(Option<Failure> failure, ResponseHead head) {
     if (reported.compareAndSet(false, true)) {
       long totalMicros = TimeUnit.NANOSECONDS.toMicros(clock.nowNanos() - startedNanos);
-      routing.send(new RoutingMessage.AttemptEnded(endpoint, failure, head, totalMicros));
+      routing.send(new RoutingMessage.AttemptEnded(endpoint, attempt, failure, head, totalMicros));
     }
   }
 }
--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -335,7 +335,7 @@
   private Mono<Either<Failure, BackendResponse>> exchangeWithTimeout(
       Placement placement, RequestHead head, RequestBody body) {
     Endpoint endpoint = placement.endpoint();
-    AttemptReporter reporter = new AttemptReporter(routing, endpoint, clock);
+    AttemptReporter reporter = new AttemptReporter(routing, endpoint, head.attempt(), clock);
     return sendToHost(endpoint, head, body)
         .timeout(Duration.ofMillis(head.timeoutMillis() + HOST_GRACE_MILLIS), scheduler)
         .onErrorResume(
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingMessage.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingMessage.java
@@ -34,12 +34,13 @@
    * An attempt of this ingress node has ended.
    *
    * @param endpoint the backend server that was chosen
+   * @param attempt the number of the attempt
    * @param failure why no complete response arrived; none if one did
    * @param head the head of the response; its status is zero without a response
    * @param totalMicros the time that the attempt took as seen at the ingress
    */
   record AttemptEnded(
-      Endpoint endpoint, Option<Failure> failure, ResponseHead head, long totalMicros)
+      Endpoint endpoint, int attempt, Option<Failure> failure, ResponseHead head, long totalMicros)
       implements RoutingMessage {}
 
   /** At the host: a request for its own backend server has arrived from an ingress node. */
@@ -70,6 +71,9 @@
   record EndpointsChanged(ServiceId service, Vector<Endpoint> endpoints)
       implements RoutingMessage {}
 
+  /** The number of nodes, this one included, has changed. */
+  record NodeCountChanged(int nodes) implements RoutingMessage {}
+
   /** A new configuration has taken effect. */
   record Configured(Snapshot snapshot) implements RoutingMessage {}
 
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
@@ -10,8 +10,11 @@
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.node.configuration.ConfigurationService;
+import org.clementinepost.node.membership.MembershipMessage;
+import org.clementinepost.node.membership.MembershipService;
 import org.clementinepost.node.peer.PeerService;
 import org.clementinepost.node.peer.PeerServiceMessage;
+import org.clementinepost.policy.routing.RetryBound;
 import org.clementinepost.policy.routing.RoutingEffect;
 import org.clementinepost.policy.routing.RoutingEvent;
 import org.clementinepost.policy.routing.RoutingPolicy;
@@ -29,23 +32,34 @@
   private RoutingService() {}
 
   /** Returns the definition of the service. */
-  public static ServiceDefinition<RoutingMessage> definition(Member self) {
+  public static ServiceDefinition<RoutingMessage> definition(Member self, RetryBound retryBound) {
     return new ServiceDefinition<>(
-        NAME, ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES, context -> start(context, self));
+        NAME,
+        ServiceDefinition.TRAFFIC_MAILBOX_MESSAGES,
+        context -> start(context, self, retryBound));
   }
 
-  private static Behaviour<RoutingMessage> start(TaskContext<RoutingMessage> context, Member self) {
+  private static Behaviour<RoutingMessage> start(
+      TaskContext<RoutingMessage> context, Member self, RetryBound retryBound) {
     context.sendEvery(
         NAME.text(), TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, new RoutingMessage.Tick());
     ConfigurationService.subscribe(context, RoutingMessage.Configured::new);
+    context
+        .registry()
+        .find(MembershipService.NAME)
+        .send(
+            new MembershipMessage.Subscribe(
+                others ->
+                    context.self().send(new RoutingMessage.NodeCountChanged(others.size() + 1))));
     return Behaviour.ofDecision(
         RoutingState.empty(),
-        message -> toEvent(message, context),
+        message -> toEvent(message, context, retryBound),
         RoutingPolicy.builder().domain(self.domain()).build(),
         effect -> handle(effect, self, context));
   }
 
-  private static RoutingEvent toEvent(RoutingMessage message, TaskContext<RoutingMessage> context) {
+  private static RoutingEvent toEvent(
+      RoutingMessage message, TaskContext<RoutingMessage> context, RetryBound retryBound) {
     long nowNanos = context.clock().nowNanos();
     if (message instanceof RoutingMessage.Place place) {
       return new RoutingEvent.Place(
@@ -54,6 +68,7 @@
     if (message instanceof RoutingMessage.AttemptEnded ended) {
       return new RoutingEvent.AttemptEnded(
           ended.endpoint(),
+          ended.attempt(),
           ended.failure(),
           ended.head().status(),
           ended.head().serverMicros(),
@@ -61,6 +76,22 @@
           ended.head().report(),
           nowNanos);
     }
+    if (message instanceof RoutingMessage.EndpointsChanged changed) {
+      return new RoutingEvent.EndpointsChanged(changed.service(), changed.endpoints(), nowNanos);
+    }
+    if (message instanceof RoutingMessage.NodeCountChanged changed) {
+      return new RoutingEvent.RetryLimitsChanged(retryBound.limitsOf(changed.nodes()));
+    }
+    if (message instanceof RoutingMessage.Configured configured) {
+      return new RoutingEvent.Configured(configured.snapshot().services(), nowNanos);
+    }
+    return message instanceof RoutingMessage.Tick
+        ? new RoutingEvent.Tick(nowNanos)
+        : toHostEvent(message, nowNanos);
+  }
+
+  /** Converts a message about a host's own backend server. */
+  private static RoutingEvent toHostEvent(RoutingMessage message, long nowNanos) {
     if (message instanceof RoutingMessage.HostedRequestEnded hostedEnd) {
       return new RoutingEvent.HostedRequestEnded(
           hostedEnd.server(),
@@ -74,18 +105,10 @@
       return new RoutingEvent.HostedRequestStarted(
           started.server(), started.service(), started.ingress(), nowNanos);
     }
-    if (message instanceof RoutingMessage.HostReported reported) {
-      HostReportMessage report = reported.message();
-      return new RoutingEvent.HostReported(
-          report.server(), report.service(), reported.host(), report.report(), nowNanos);
-    }
-    if (message instanceof RoutingMessage.EndpointsChanged changed) {
-      return new RoutingEvent.EndpointsChanged(changed.service(), changed.endpoints(), nowNanos);
-    }
-    if (message instanceof RoutingMessage.Configured configured) {
-      return new RoutingEvent.Configured(configured.snapshot().services(), nowNanos);
-    }
-    return new RoutingEvent.Tick(nowNanos);
+    RoutingMessage.HostReported reported = (RoutingMessage.HostReported) message;
+    HostReportMessage report = reported.message();
+    return new RoutingEvent.HostReported(
+        report.server(), report.service(), reported.host(), report.report(), nowNanos);
   }
 
   private static void handle(
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettings.java
@@ -6,6 +6,7 @@
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.policy.quota.EmergencyAllowance;
+import org.clementinepost.policy.routing.RetryBound;
 import org.clementinepost.storage.PlatformSettings;
 
 /**
@@ -26,6 +27,7 @@
  * @param keyWithdrawalMillis the time after which a withdrawn key is rejected at every node; zero
  *     sets no limit
  * @param quotaTolerance by how much the fleet may exceed a customer's rate and burst
+ * @param retryBound the retries that the fleet may add to the load of a service
  * @param shutdownDelayMillis how long a stopping node still accepts callers' requests
  * @param connectionsPerServer the maximum number of connections to one backend server
  * @param edgeLimits the limits on callers' requests and connections
@@ -45,6 +47,7 @@
     Option<NetworkAddress> localServer,
     long keyWithdrawalMillis,
     EmergencyAllowance quotaTolerance,
+    RetryBound retryBound,
     long shutdownDelayMillis,
     int connectionsPerServer,
     EdgeLimits edgeLimits,
--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
@@ -14,6 +14,7 @@
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.policy.quota.EmergencyAllowance;
+import org.clementinepost.policy.routing.RetryBound;
 import org.clementinepost.storage.PlatformSettings;
 
 /** Reads and validates the settings file. */
@@ -84,6 +85,9 @@
             document.decimal(SettingsCatalog.QUOTA_TOLERATED_SHARE),
             document.integer(SettingsCatalog.QUOTA_TOLERATED_REQUESTS),
             document.integer(SettingsCatalog.QUOTA_WINDOW)),
+        new RetryBound(
+            document.decimal(SettingsCatalog.RETRY_FRACTION),
+            document.integer(SettingsCatalog.RETRY_BURST)),
         document.integer(SettingsCatalog.SHUTDOWN_DELAY),
         (int) document.integer(SettingsCatalog.CONNECTIONS_PER_SERVER),
         edgeLimits(document),
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
@@ -122,6 +122,20 @@
           1,
           3_600,
           "The time window for counting a customer's requests against its rate and burst.");
+  static final Setting RETRY_FRACTION =
+      Setting.optional(
+          "retries.fraction",
+          Kind.FRACTION,
+          "0.15",
+          "The fraction of the requests to a service that the fleet may send again, 0 to 1.");
+  static final Setting RETRY_BURST =
+      Setting.integer(
+          "retries.burst",
+          "requests",
+          60,
+          0,
+          1_000_000,
+          "The retries to a service that the fleet may send in addition, within a few seconds.");
   static final Setting SHUTDOWN_DELAY =
       Setting.integer(
           "farewellMillis",
@@ -201,6 +215,8 @@
           QUOTA_TOLERATED_SHARE,
           QUOTA_TOLERATED_REQUESTS,
           QUOTA_WINDOW,
+          RETRY_FRACTION,
+          RETRY_BURST,
           SHUTDOWN_DELAY,
           CONNECTIONS_PER_SERVER,
           MAX_HEADER_BYTES,
--- a/node/src/test/java/org/clementinepost/node/RowStoreNodes.java
+++ b/node/src/test/java/org/clementinepost/node/RowStoreNodes.java
@@ -10,6 +10,7 @@
 import org.clementinepost.node.settings.NodeSettings;
 import org.clementinepost.platform.StoreClient;
 import org.clementinepost.policy.quota.EmergencyAllowance;
+import org.clementinepost.policy.routing.RetryBound;
 import org.clementinepost.testing.rows.RowStoreStandIn;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
@@ -45,6 +46,7 @@
             Option.none(),
             KEY_WITHDRAWAL_MILLIS,
             ALLOWANCE,
+            new RetryBound(0.2, 60),
             100,
             100,
             new NodeSettings.EdgeLimits(
--- a/policy/src/main/java/org/clementinepost/policy/routing/OutlierDetectionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/OutlierDetectionPolicy.java
@@ -27,7 +27,8 @@
     if (server.isEmpty()) {
       return Step.to(state);
     }
-    ServiceState service = withAvoidance(known.get(), ended);
+    ServiceState service =
+        withRetryBudget(withAvoidance(known.get(), ended), ended, state.retryLimits());
     long placedNanos = ended.nowNanos() - TimeUnit.MICROSECONDS.toNanos(ended.totalMicros());
     boolean overdue = server.get().outstanding().isOverdue(placedNanos);
     EndpointState released = withAttemptRemoved(server.get(), ended, placedNanos);
@@ -51,6 +52,18 @@
     return updateEjection(next.with(id, updatedService), id, updated, ended.nowNanos());
   }
 
+  /** Counts a first attempt that reached its server, and gives back a retry that did not. */
+  private static ServiceState withRetryBudget(
+      ServiceState service, RoutingEvent.AttemptEnded ended, RetryLimits limits) {
+    boolean reached = ended.failure().forAll(RetryPolicy::mayHaveReachedServer);
+    boolean retry = ended.attempt() > 1;
+    if (reached == retry) {
+      return service;
+    }
+    RetryBudget budget = service.retryBudget();
+    return service.with(retry ? budget.withoutRetry(limits) : budget.withRequest(limits));
+  }
+
   private static EndpointState withAttemptRemoved(
       EndpointState server, RoutingEvent.AttemptEnded ended, long placedNanos) {
     EndpointState released = server.with(server.outstanding().withoutRequestPlacedAt(placedNanos));
--- a/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/PlacementPolicy.java
@@ -83,7 +83,7 @@
     ServiceState next =
         service
             .with(chosen.with(chosen.outstanding().withRequestPlaced(place.nowNanos())))
-            .with(retry ? service.retryBudget().withRetry() : service.retryBudget().withRequest());
+            .with(retry ? service.retryBudget().withRetry() : service.retryBudget());
     Placement placement = new Placement(chosen.endpoint());
     return Step.to(
         state.with(head.service(), next),
--- a/policy/src/main/java/org/clementinepost/policy/routing/RetryBudget.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RetryBudget.java
@@ -1,33 +1,37 @@
 package org.clementinepost.policy.routing;
 
 /**
- * Limits the retries of a service to a fraction of its requests.
+ * The retries of a service that a node may still send, so that retries do not overload a service
+ * that is already failing.
  *
- * <p>Each first attempt adds a fraction of a token and each retry takes a whole one, so that
- * retries do not overload a service that is already failing.
+ * <p>A request that reached a backend server adds a part of a token. A retry takes a whole one when
+ * it is placed, and gives it back if it did not reach a backend server.
  *
- * @param milliTokens the remaining budget, in thousandths of a token
+ * @param milliTokens the remaining budget, in thousandths of a retry
  */
 record RetryBudget(long milliTokens) {
-  private static final long MILLI_TOKENS_PER_RETRY = 1_000;
-  private static final long MILLI_TOKENS_PER_REQUEST = 150;
-
-  /** Limits a burst of retries by all nodes of a small fleet to an acceptable extra load. */
-  private static final long MAX_MILLI_TOKENS = 2_000;
-
-  static final RetryBudget FULL = new RetryBudget(MAX_MILLI_TOKENS);
+  static RetryBudget initial(RetryLimits limits) {
+    return new RetryBudget(limits.initialMilliTokens());
+  }
 
-  RetryBudget withRequest() {
-    return milliTokens == MAX_MILLI_TOKENS
-        ? this
-        : new RetryBudget(Math.min(MAX_MILLI_TOKENS, milliTokens + MILLI_TOKENS_PER_REQUEST));
+  RetryBudget withRequest(RetryLimits limits) {
+    return add(limits.milliTokensPerRequest(), limits);
   }
 
   boolean allowsRetry() {
-    return milliTokens >= MILLI_TOKENS_PER_RETRY;
+    return milliTokens >= RetryLimits.MILLI_TOKENS_PER_RETRY;
   }
 
   RetryBudget withRetry() {
-    return new RetryBudget(milliTokens - MILLI_TOKENS_PER_RETRY);
+    return new RetryBudget(milliTokens - RetryLimits.MILLI_TOKENS_PER_RETRY);
+  }
+
+  /** Returns the budget after a retry that did not reach a backend server. */
+  RetryBudget withoutRetry(RetryLimits limits) {
+    return add(RetryLimits.MILLI_TOKENS_PER_RETRY, limits);
+  }
+
+  private RetryBudget add(long more, RetryLimits limits) {
+    return new RetryBudget(Math.min(limits.maxMilliTokens(), milliTokens + more));
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingEvent.java
@@ -21,6 +21,9 @@
   record EndpointsChanged(ServiceId service, Vector<Endpoint> endpoints, long nowNanos)
       implements RoutingEvent {}
 
+  /** The limits on this node's retries have changed, since the number of nodes has. */
+  record RetryLimitsChanged(RetryLimits limits) implements RoutingEvent {}
+
   /** The configuration of the services has changed. */
   record Configured(Map<ServiceId, Service> services, long nowNanos) implements RoutingEvent {}
 
@@ -45,6 +48,7 @@
    * An attempt of this ingress node has ended.
    *
    * @param endpoint the backend server that was chosen
+   * @param attempt the number of the attempt
    * @param failure why no complete response arrived; none if one arrived
    * @param status the HTTP status of the response; zero without one
    * @param serverMicros the time that the backend server took
@@ -54,6 +58,7 @@
    */
   record AttemptEnded(
       Endpoint endpoint,
+      int attempt,
       Option<Failure> failure,
       int status,
       long serverMicros,
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingPolicy.java
@@ -70,6 +70,9 @@
     if (event instanceof RoutingEvent.EndpointsChanged changed) {
       return Step.to(onEndpointsChanged(state, changed));
     }
+    if (event instanceof RoutingEvent.RetryLimitsChanged changed) {
+      return Step.to(state.withRetryLimits(changed.limits()));
+    }
     if (event instanceof RoutingEvent.Configured configured) {
       return Step.to(onConfigured(state, configured));
     }
--- a/policy/src/main/java/org/clementinepost/policy/routing/RoutingState.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RoutingState.java
@@ -14,21 +14,28 @@
  * @param pathEvidence the evidence of a faulty path to each host; hosts without any are left out
  * @param hostedServers the evidence against the backend servers that this node hosts
  * @param configuredServices the configuration of each service
+ * @param retryLimits the limits on the retries of this node
  */
 public record RoutingState(
     Map<ServiceId, ServiceState> services,
     Map<NodeId, Evidence> pathEvidence,
     Map<BackendServerId, HostedServerEvidence> hostedServers,
-    Map<ServiceId, Service> configuredServices) {
+    Map<ServiceId, Service> configuredServices,
+    RetryLimits retryLimits) {
   private static final int DEFAULT_FLOOR_PERCENT = 50;
 
   /** Returns the state of a node that has just started. */
   public static RoutingState empty() {
-    return new RoutingState(HashMap.empty(), HashMap.empty(), HashMap.empty(), HashMap.empty());
+    return new RoutingState(
+        HashMap.empty(),
+        HashMap.empty(),
+        HashMap.empty(),
+        HashMap.empty(),
+        RetryLimits.UNKNOWN_FLEET);
   }
 
   ServiceState service(ServiceId service) {
-    return services.getOrElse(service, ServiceState.empty(floorPercent(service)));
+    return services.getOrElse(service, ServiceState.empty(floorPercent(service), retryLimits));
   }
 
   int floorPercent(ServiceId service) {
@@ -47,7 +54,7 @@
   }
 
   RoutingState withServices(Map<ServiceId, ServiceState> next) {
-    return new RoutingState(next, pathEvidence, hostedServers, configuredServices);
+    return new RoutingState(next, pathEvidence, hostedServers, configuredServices, retryLimits);
   }
 
   RoutingState with(NodeId host, Evidence next) {
@@ -59,14 +66,19 @@
         services,
         removed ? pathEvidence.remove(host) : pathEvidence.put(host, next),
         hostedServers,
-        configuredServices);
+        configuredServices,
+        retryLimits);
   }
 
   RoutingState withHostedServers(Map<BackendServerId, HostedServerEvidence> next) {
-    return new RoutingState(services, pathEvidence, next, configuredServices);
+    return new RoutingState(services, pathEvidence, next, configuredServices, retryLimits);
   }
 
   RoutingState withConfiguredServices(Map<ServiceId, Service> next) {
-    return new RoutingState(services, pathEvidence, hostedServers, next);
+    return new RoutingState(services, pathEvidence, hostedServers, next, retryLimits);
+  }
+
+  RoutingState withRetryLimits(RetryLimits next) {
+    return new RoutingState(services, pathEvidence, hostedServers, configuredServices, next);
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/ServiceState.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/ServiceState.java
@@ -32,14 +32,14 @@
     Map<BackendServerId, Long> idleServers,
     int floorPercent) {
 
-  static ServiceState empty(int floorPercent) {
+  static ServiceState empty(int floorPercent, RetryLimits retryLimits) {
     return new ServiceState(
         HashMap.empty(),
         Vector.empty(),
         Vector.empty(),
         HashMap.empty(),
         ServiceBaseline.EMPTY,
-        RetryBudget.FULL,
+        RetryBudget.initial(retryLimits),
         HashMap.empty(),
         floorPercent);
   }
--- a/policy/src/test/java/org/clementinepost/policy/floor/ServiceSimulation.java
+++ b/policy/src/test/java/org/clementinepost/policy/floor/ServiceSimulation.java
@@ -428,6 +428,7 @@
           ingress,
           new RoutingEvent.AttemptEnded(
               placement.endpoint(),
+              head.attempt(),
               result.isLeft() ? Option.some(result.getLeft()) : Option.none(),
               result.getOrElse(0),
               TimeUnit.MILLISECONDS.toMicros(workMillis),
--- a/policy/src/test/java/org/clementinepost/policy/routing/RoutingFixture.java
+++ b/policy/src/test/java/org/clementinepost/policy/routing/RoutingFixture.java
@@ -3,6 +3,7 @@
 import io.vavr.collection.HashMap;
 import io.vavr.collection.HashSet;
 import io.vavr.collection.Vector;
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,12 +12,14 @@
 import org.clementinepost.api.AdmissionMode;
 import org.clementinepost.api.BackendServerId;
 import org.clementinepost.api.Endpoint;
+import org.clementinepost.api.Failure;
 import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.api.HostReport;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.RequestId;
 import org.clementinepost.api.RequestOptions;
+import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
 import org.clementinepost.api.config.Service;
 import org.clementinepost.kernel.Step;
@@ -35,7 +38,13 @@
   private RoutingState state = RoutingState.empty();
   private long nowMillis = 10_000;
 
+  /** Creates a node that holds several retries. */
   RoutingFixture(Vector<Endpoint> endpoints) {
+    this(endpoints, RetryLimits.ofFleet(0.2, 10, 1));
+  }
+
+  RoutingFixture(Vector<Endpoint> endpoints, RetryLimits retryLimits) {
+    decide(new RoutingEvent.RetryLimitsChanged(retryLimits));
     Service service =
         new Service(SERVICE, FLOOR_PERCENT, 1, DEADLINE_MILLIS, 0, 1, 0, "/health", 1_000);
     decide(new RoutingEvent.Configured(HashMap.of(SERVICE, service), nowNanos()));
@@ -100,17 +109,37 @@
   }
 
   private Endpoint place(boolean idempotent) {
-    List<Endpoint> placed = new ArrayList<>();
+    return place(head(idempotent)).get().endpoint();
+  }
+
+  /** Places the second attempt of a request. */
+  Either<Failure, Placement> placeRetry() {
+    return place(head(true).nextAttempt(2, DEADLINE_MILLIS));
+  }
+
+  private Either<Failure, Placement> place(RequestHead head) {
     Vector<RoutingEffect> effects =
         decide(
             new RoutingEvent.Place(
-                head(idempotent), HashSet.empty(), random.nextLong(), nowNanos(), result -> {}));
-    for (RoutingEffect effect : effects) {
-      if (effect instanceof RoutingEffect.Placed decided) {
-        decided.result().peek(placement -> placed.add(placement.endpoint()));
-      }
-    }
-    return placed.get(0);
+                head, HashSet.empty(), random.nextLong(), nowNanos(), result -> {}));
+    return effects
+        .filter(RoutingEffect.Placed.class::isInstance)
+        .map(effect -> ((RoutingEffect.Placed) effect).result())
+        .head();
+  }
+
+  /** Ends an attempt without a response. */
+  void failAttempt(Endpoint endpoint, int attempt, ResultCode code) {
+    decide(
+        new RoutingEvent.AttemptEnded(
+            endpoint,
+            attempt,
+            Option.some(Failure.of(code)),
+            0,
+            1_000,
+            2_000,
+            HostReport.HEALTHY,
+            nowNanos()));
   }
 
   /** Ends a request with the failure of its server. */
@@ -125,7 +154,7 @@
   private void end(Endpoint endpoint, HostReport report) {
     decide(
         new RoutingEvent.AttemptEnded(
-            endpoint, Option.none(), 200, 1_000, 2_000, report, nowNanos()));
+            endpoint, 1, Option.none(), 200, 1_000, 2_000, report, nowNanos()));
   }
 
   private static RequestHead head(boolean idempotent) {
