Leave trials of a suspected server to idempotent requests where they are common

Cause: after 1.5 s without a request any request became the trial of a suspected server, although idempotent ones had asked for it meanwhile and would have lost nothing.

Change: where an idempotent request asked for the server within 4 s, others wait 4 s for a trial. Where none asked, 1.5 s as before, so that the floor of services without idempotent requests holds. Two tests of that rule used an idempotent request to make the server fail; they now use one that isn't, which is the case that they are about.

Result: suspectedServerLeavesTrialsToIdempotentRequestsWhereTheyAreCommon; ServiceFloorTest passes unchanged.

--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -24,7 +24,8 @@
     this.domain = domain;
   }
 
-  Step<HostState, HostEffect> admit(HostState state, HostEvent.Admit admit) {
+  Step<HostState, HostEffect> admit(HostState before, HostEvent.Admit admit) {
+    HostState state = withIdempotentRequest(before, admit);
     Either<Failure, HostedServer> server = findOpenServer(state, admit.server());
     if (server.isLeft()) {
       return Step.to(state, refusal(admit, server.getLeft()));
@@ -39,6 +40,17 @@
     return QueuePolicy.enqueue(state, server.get(), admit);
   }
 
+  private static HostState withIdempotentRequest(HostState state, HostEvent.Admit admit) {
+    if (!admit.head().idempotent()) {
+      return state;
+    }
+    return state
+        .servers()
+        .get(admit.server())
+        .map(server -> state.withServer(server.withIdempotentRequest(admit.nowNanos())))
+        .getOrElse(state);
+  }
+
   /** Returns the backend server if it accepts requests at all, or why it does not. */
   private Either<Failure, HostedServer> findOpenServer(HostState state, BackendServerId server) {
     Option<HostedServer> hosted = state.servers().get(server);
--- a/policy/src/main/java/org/clementinepost/policy/host/HealthAdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HealthAdmissionPolicy.java
@@ -17,6 +17,12 @@
   /** The time without a request after which any request may serve as a trial. */
   private static final long MAX_REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+  /**
+   * The longer limit for a request that isn't idempotent, at a server that idempotent requests have
+   * asked for within this time: they serve as trials and lose nothing if the server still fails.
+   */
+  private static final long MAX_REFUSAL_WITH_IDEMPOTENT_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   /** The shorter limit for an idle server that is not suspected but has no recent success. */
   private static final long MAX_IDLE_UNPROVEN_REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -37,14 +43,17 @@
    *
    * <p>A suspected server gets only trials, and requests whose admission mode accepts any server.
    * Idempotent requests serve as trials. Where these are rare, a recovered server would wait long
-   * for a trial, so after {@link #MAX_REFUSAL_NANOS} without a request any request is a trial.
+   * for a trial, so after {@link #MAX_REFUSAL_NANOS} without a request any request is a trial;
+   * where they are common, after {@link #MAX_REFUSAL_WITH_IDEMPOTENT_NANOS}.
    */
   static boolean isRefusedAsSuspected(HostedServer server, HostEvent.Admit admit) {
     if (!server.health().suspected() || admissionMode(admit) == AdmissionMode.ANY_SERVER) {
       return false;
     }
     boolean trial =
-        admit.head().idempotent() || server.hasNoAdmissionFor(MAX_REFUSAL_NANOS, admit.nowNanos());
+        admit.head().idempotent()
+            || server.hasNoAdmissionFor(
+                maxSuspectedRefusalNanos(server, admit.nowNanos()), admit.nowNanos());
     return !trial || !server.health().isTrialDue(admit.nowNanos());
   }
 
@@ -65,6 +74,12 @@
         && !server.hasNoAdmissionFor(maxUnprovenRefusalNanos(server), admit.nowNanos());
   }
 
+  private static long maxSuspectedRefusalNanos(HostedServer server, long nowNanos) {
+    return server.hasIdempotentRequestWithin(MAX_REFUSAL_WITH_IDEMPOTENT_NANOS, nowNanos)
+        ? MAX_REFUSAL_WITH_IDEMPOTENT_NANOS
+        : MAX_REFUSAL_NANOS;
+  }
+
   /** A busy server gets more time, since a request in flight may soon succeed. */
   private static long maxUnprovenRefusalNanos(HostedServer server) {
     return server.inFlight() == 0 ? MAX_IDLE_UNPROVEN_REFUSAL_NANOS : MAX_REFUSAL_NANOS;
--- a/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostedServer.java
@@ -12,6 +12,7 @@
  * @param coldUntilNanos when its cold start ends
  * @param recentAdmissionsNanos the times of the admissions in the last second, oldest first
  * @param lastAdmittedNanos when a request was last admitted, or when the server became known
+ * @param lastIdempotentNanos when an idempotent request last asked for admission
  * @param health its health, as observed from its responses
  * @param runTimes the time that it usually takes for a request
  */
@@ -22,9 +23,11 @@
     long coldUntilNanos,
     Vector<Long> recentAdmissionsNanos,
     long lastAdmittedNanos,
+    long lastIdempotentNanos,
     ServerHealth health,
     RunTimes runTimes) {
   static final long RATE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long NEVER_NANOS = Long.MIN_VALUE / 2;
 
   /** Creates a backend server that has just become known. */
   static HostedServer of(Announcement announcement, long nowNanos) {
@@ -35,6 +38,7 @@
             0,
             Vector.empty(),
             nowNanos,
+            NEVER_NANOS,
             ServerHealth.INITIAL,
             RunTimes.UNKNOWN)
         .withAnnouncement(announcement, nowNanos);
@@ -60,6 +64,10 @@
         .build();
   }
 
+  HostedServer withIdempotentRequest(long nowNanos) {
+    return toBuilder().lastIdempotentNanos(nowNanos).build();
+  }
+
   HostedServer withSlotReleased() {
     return toBuilder().inFlight(Math.max(0, inFlight - 1)).build();
   }
@@ -85,6 +93,11 @@
     return nowNanos - lastAdmittedNanos >= durationNanos;
   }
 
+  /** Whether an idempotent request has asked for admission in the given time. */
+  boolean hasIdempotentRequestWithin(long durationNanos, long nowNanos) {
+    return nowNanos - lastIdempotentNanos < durationNanos;
+  }
+
   int countAdmissionsWithin(long windowNanos, long nowNanos) {
     return recentAdmissionsNanos.count(admitted -> nowNanos - admitted < windowNanos);
   }
@@ -101,6 +114,7 @@
     private long coldUntilNanos;
     private Vector<Long> recentAdmissionsNanos;
     private long lastAdmittedNanos;
+    private long lastIdempotentNanos;
     private ServerHealth health;
     private RunTimes runTimes;
 
@@ -111,6 +125,7 @@
       coldUntilNanos = server.coldUntilNanos;
       recentAdmissionsNanos = server.recentAdmissionsNanos;
       lastAdmittedNanos = server.lastAdmittedNanos;
+      lastIdempotentNanos = server.lastIdempotentNanos;
       health = server.health;
       runTimes = server.runTimes;
     }
@@ -145,6 +160,11 @@
       return this;
     }
 
+    Builder lastIdempotentNanos(long next) {
+      lastIdempotentNanos = next;
+      return this;
+    }
+
     Builder health(ServerHealth next) {
       health = next;
       return this;
@@ -163,6 +183,7 @@
           coldUntilNanos,
           recentAdmissionsNanos,
           lastAdmittedNanos,
+          lastIdempotentNanos,
           health,
           runTimes);
     }
--- a/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -148,7 +148,7 @@
   @Test
   void suspectedServerAcceptsNonIdempotentTrialAfter1500MillisWithoutRequest() {
     announce();
-    admit("a");
+    admit("a", false, 1, AdmissionMode.WAIT_FOR_SLOT);
     endRequest(1, 500);
     nowMillis += 1_499;
     admit("early", false, 1, AdmissionMode.FREE_SLOT_ONLY);
@@ -165,6 +165,22 @@
     assertThat(results).endsWith("next ok");
   }
 
+  @Test
+  void suspectedServerLeavesTrialsToIdempotentRequestsWhereTheyAreCommon() {
+    announce();
+    admit("a");
+    endRequest(1, 500);
+    nowMillis += 700;
+    admit("read", true, 1, AdmissionMode.FREE_SLOT_ONLY);
+    nowMillis += 3_299;
+    admit("write", false, 1, AdmissionMode.FREE_SLOT_ONLY);
+    nowMillis += 1;
+    admit("later", false, 1, AdmissionMode.FREE_SLOT_ONLY);
+    assertThat(results)
+        .containsExactly(
+            "a ok", "read BACKEND_SERVER_FAILING", "write BACKEND_SERVER_FAILING", "later ok");
+  }
+
   @Test
   void doesNotSuspectServerWhoseOutgoingCallFailedDuringRequest() {
     announce();
@@ -231,7 +247,7 @@
   @Test
   void suspectedServerWithLongTrialAcceptsAnotherAfter1500Millis() {
     announce();
-    admit("fails", true, 1, AdmissionMode.FREE_SLOT_ONLY);
+    admit("fails", false, 1, AdmissionMode.WAIT_FOR_SLOT);
     endRequest(1, 500);
     nowMillis += 1_500;
     admit("long", false, 1, AdmissionMode.FREE_SLOT_ONLY);
