Accept a fractional burst of retries

Cause: retries.burst was a whole number, but a platform may state 28.4.

Change: the setting is a decimal number.

Result: acceptsFractionalRetryBurst failed before.

--- a/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/clementinepost/node/settings/NodeSettingsReader.java
@@ -87,7 +87,7 @@
             document.integer(SettingsCatalog.QUOTA_WINDOW)),
         new RetryBound(
             document.decimal(SettingsCatalog.RETRY_FRACTION),
-            document.integer(SettingsCatalog.RETRY_BURST)),
+            document.decimal(SettingsCatalog.RETRY_BURST)),
         document.integer(SettingsCatalog.SHUTDOWN_DELAY),
         (int) document.integer(SettingsCatalog.CONNECTIONS_PER_SERVER),
         edgeLimits(document),
--- a/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
+++ b/node/src/main/java/org/clementinepost/node/settings/SettingsCatalog.java
@@ -129,7 +129,7 @@
           "0.15",
           "The fraction of the requests to a service that the fleet may send again, 0 to 1.");
   static final Setting RETRY_BURST =
-      Setting.integer(
+      Setting.decimal(
           "retries.burst",
           "requests",
           60,
--- a/node/src/test/java/org/clementinepost/node/settings/NodeSettingsReaderTest.java
+++ b/node/src/test/java/org/clementinepost/node/settings/NodeSettingsReaderTest.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import java.nio.file.Path;
 import org.clementinepost.api.ResultCode;
+import org.clementinepost.policy.routing.RetryBound;
 import org.junit.jupiter.api.Test;
 
 final class NodeSettingsReaderTest {
@@ -39,6 +40,14 @@
         .isEqualTo(7_500);
   }
 
+  @Test
+  void acceptsFractionalRetryBurst() {
+    String retries = ", \"retries\": {\"fraction\": 0.2, \"burst\": 28.4}";
+    assertThat(findings(VALID_FILE.formatted(retries))).isEmpty();
+    assertThat(NodeSettingsReader.parse(VALID_FILE.formatted(retries)).get().retryBound())
+        .isEqualTo(new RetryBound(0.2, 28.4));
+  }
+
   @Test
   void rejectsStopGraceOutOfBoundsOrOfWrongType() {
     for (String grace : Vector.of("0", "3601", "\"6\"")) {
