Follow the store through a few readers in each failure domain

Cause: each node held two long polls of its own at the store, and each changed row woke every node.

Excluded: longer polls (a key's confirmation must be younger than 4.6 s), a leader elected by lease (one more thing that can be missing).

Change: FeedPolicy. In each failure domain two nodes a table, by rendezvous hash over the directory, read the store; the others ask them over the peer connections and are answered at each change and each confirmation. A confirmation carries the store's own clock, so that relaying can't make it younger. A stale or silent relay is avoided for 10 s, the next one asked, then the store, spread over time. Rows say whether their node relays, so that nodes of an older build are never asked.

Result: FeedPolicyTest, a fleet of up to 1,000 nodes in virtual time with cuts in one direction, frozen, killed and restarted readers, lost history and a store that is away; RelayedFeedTest with six nodes.

--- /dev/null
+++ b/api/src/main/java/org/clementinepost/api/peer/FeedPage.java
@@ -0,0 +1,14 @@
+package org.clementinepost.api.peer;
+
+import io.vavr.collection.Vector;
+
+/**
+ * Rows of a table of the store as of one moment.
+ *
+ * @param rows all rows if the page is complete, otherwise those that have changed, in order
+ * @param version the store's version up to which the page contains all changes
+ * @param storeClockMillis that moment on the store's own clock, which no relaying changes
+ * @param complete whether rows that the page lacks do not exist
+ */
+public record FeedPage(
+    Vector<FeedRow> rows, long version, long storeClockMillis, boolean complete) {}
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -5,6 +5,7 @@
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.peer.DirectoryPeerMessage;
+import org.clementinepost.api.peer.FeedPeerMessage;
 import org.clementinepost.api.peer.HostReportMessage;
 import org.clementinepost.api.peer.MembershipPeerMessage;
 import org.clementinepost.api.peer.PeerMessage;
@@ -23,6 +24,8 @@
 import org.clementinepost.node.edge.EdgeMessage;
 import org.clementinepost.node.edge.EdgeService;
 import org.clementinepost.node.exchange.ExchangeService;
+import org.clementinepost.node.feed.FeedService;
+import org.clementinepost.node.feed.FeedServiceMessage;
 import org.clementinepost.node.host.HostService;
 import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
@@ -127,6 +130,10 @@
     if (message instanceof QuotaPeerMessage quota) {
       registry.find(QuotaService.NAME).send(new QuotaServiceMessage.FromPeer(from, quota));
     }
+    if (message instanceof FeedPeerMessage feed) {
+      FeedService.find(registry, feed.table())
+          .forEach(service -> service.send(new FeedServiceMessage.FromPeer(from, feed)));
+    }
     if (message instanceof HostReportMessage report) {
       registry.find(RoutingService.NAME).send(new RoutingMessage.HostReported(from, report));
     }
--- a/node/src/main/java/org/clementinepost/node/PlatformAdapter.java
+++ b/node/src/main/java/org/clementinepost/node/PlatformAdapter.java
@@ -10,6 +10,9 @@
 import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.node.directory.DirectoryService;
 import org.clementinepost.node.directory.TableDirectoryService;
+import org.clementinepost.node.feed.FeedService;
+import org.clementinepost.node.feed.FeedTable;
+import org.clementinepost.node.feed.RelayedRowStore;
 import org.clementinepost.node.membership.MembershipService;
 import org.clementinepost.node.quota.QuotaService;
 import org.clementinepost.platform.HeartbeatFormat;
@@ -58,7 +61,10 @@
     return new PlatformAdapter(
         self ->
             Vector.of(
-                ChangeFeedConfigurationService.definition(new OperatorTable(store)),
+                FeedService.definition(FeedTable.OPERATORS, self.node(), store),
+                FeedService.definition(FeedTable.NODES, self.node(), store),
+                ChangeFeedConfigurationService.definition(
+                    registry -> new OperatorTable(new RelayedRowStore(store, registry))),
                 TableDirectoryService.definition(self, store),
                 QuotaService.definition(self, store, tolerance)),
         PlatformDialect.DIALECT,
--- a/node/src/main/java/org/clementinepost/node/access/AccessService.java
+++ b/node/src/main/java/org/clementinepost/node/access/AccessService.java
@@ -66,7 +66,7 @@
       return;
     }
     if (message instanceof AccessMessage.Confirmed confirmed) {
-      confirmation = confirmed.confirmation();
+      confirmation = confirmation.orLater(confirmed.confirmation());
       return;
     }
     AccessMessage.Authorize authorize = (AccessMessage.Authorize) message;
--- a/node/src/main/java/org/clementinepost/node/configuration/ChangeFeedConfigurationService.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/ChangeFeedConfigurationService.java
@@ -6,12 +6,14 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.function.Function;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.FailureDomainId;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.config.FailureDomain;
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.kernel.Behaviour;
+import org.clementinepost.kernel.Registry;
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.SuspendAwareClock;
@@ -20,6 +22,7 @@
 import org.clementinepost.storage.rows.OperatorChange;
 import org.clementinepost.storage.rows.OperatorChangeFeed;
 import org.clementinepost.storage.rows.OperatorChangePage;
+import org.clementinepost.storage.rows.PageOrigin;
 import reactor.core.publisher.Mono;
 
 /**
@@ -66,10 +69,16 @@
 
   /** Returns the definition of the service. */
   public static ServiceDefinition<ConfigurationMessage> definition(OperatorChangeFeed feed) {
+    return definition(registry -> feed);
+  }
+
+  /** Returns the definition of the service with a feed that uses other services of the node. */
+  public static ServiceDefinition<ConfigurationMessage> definition(
+      Function<Registry, OperatorChangeFeed> feed) {
     return new ServiceDefinition<>(
         ConfigurationService.NAME,
         ServiceDefinition.CONTROL_MAILBOX_MESSAGES,
-        context -> new ChangeFeedConfigurationService(context, feed));
+        context -> new ChangeFeedConfigurationService(context, feed.apply(context.registry())));
   }
 
   private void poll() {
@@ -137,13 +146,23 @@
           current.version(), domainsOut.mkString(","));
       listeners.forEach(listener -> listener.send(current));
     }
-    Confirmation confirmation = toConfirmation(requestNanos, page.storeClockMillis());
+    Confirmation confirmation = toConfirmation(requestNanos, page);
     confirmationListeners.forEach(listener -> listener.send(confirmation));
     poll();
     return null;
   }
 
-  private Confirmation toConfirmation(long requestNanos, long storeMillis) {
+  /**
+   * Returns the time at which the store confirmed the configuration. A relayed page says nothing
+   * about the offset between the clocks, since the store may have sent it long before.
+   */
+  private Confirmation toConfirmation(long callNanos, OperatorChangePage page) {
+    long storeMillis = page.storeClockMillis();
+    if (page.origin() instanceof PageOrigin.Relayed) {
+      return new Confirmation(storeClockOffset.earliestNanos(clock.nowNanos(), storeMillis));
+    }
+    long requestNanos =
+        page.origin() instanceof PageOrigin.RequestedAt requested ? requested.nanos() : callNanos;
     storeClockOffset = storeClockOffset.withResponse(requestNanos, storeMillis);
     return new Confirmation(
         storeClockOffset.earliestResponseNanos(requestNanos, clock.nowNanos(), storeMillis));
--- a/node/src/main/java/org/clementinepost/node/configuration/StoreClockOffset.java
+++ b/node/src/main/java/org/clementinepost/node/configuration/StoreClockOffset.java
@@ -40,7 +40,17 @@
    * @param storeMillis the time of the store's clock in the response
    */
   long earliestResponseNanos(long requestNanos, long receivedNanos, long storeMillis) {
-    long responseNanos = TimeUnit.MILLISECONDS.toNanos(storeMillis) + lowerBoundNanos;
-    return Math.max(requestNanos, Math.min(receivedNanos, responseNanos));
+    return Math.max(requestNanos, earliestNanos(receivedNanos, storeMillis));
+  }
+
+  /**
+   * Returns the earliest time of this node's clock that a time of the store's clock can correspond
+   * to.
+   *
+   * @param receivedNanos when the time of the store's clock was received
+   * @param storeMillis the time of the store's clock
+   */
+  long earliestNanos(long receivedNanos, long storeMillis) {
+    return Math.min(receivedNanos, TimeUnit.MILLISECONDS.toNanos(storeMillis) + lowerBoundNanos);
   }
 }
--- a/node/src/main/java/org/clementinepost/node/directory/NodeRow.java
+++ b/node/src/main/java/org/clementinepost/node/directory/NodeRow.java
@@ -23,12 +23,14 @@
  *
  * @param member the node
  * @param endpoints the backend servers of this host that accept requests
+ * @param relaysFeeds whether other nodes may follow tables of the store through this one
  */
-record NodeRow(Member member, Vector<Endpoint> endpoints) {
+record NodeRow(Member member, Vector<Endpoint> endpoints, boolean relaysFeeds) {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String INCARNATION = "incarnation";
   private static final String PEER = "peer";
   private static final String DOMAIN = "failureDomain";
+  private static final String RELAYS_FEEDS = "relaysFeeds";
   private static final String SERVERS = "servers";
   private static final String SERVER_ID = "id";
   private static final String SERVICE = "service";
@@ -40,7 +42,8 @@
             .createObjectNode()
             .put(INCARNATION, member.incarnation())
             .put(PEER, member.peerAddress().toString())
-            .put(DOMAIN, member.domain().value());
+            .put(DOMAIN, member.domain().value())
+            .put(RELAYS_FEEDS, relaysFeeds);
     ArrayNode servers = root.putArray(SERVERS);
     for (Endpoint endpoint : endpoints) {
       servers
@@ -69,7 +72,9 @@
             JsonFields.requireIpAddress(root, PEER),
             new FailureDomainId(JsonFields.requireText(root, DOMAIN)));
     return new NodeRow(
-        member, Vector.ofAll(root.path(SERVERS)).map(server -> endpoint(member, server)));
+        member,
+        Vector.ofAll(root.path(SERVERS)).map(server -> endpoint(member, server)),
+        root.path(RELAYS_FEEDS).asBoolean());
   }
 
   private static Endpoint endpoint(Member member, JsonNode server) {
--- a/node/src/main/java/org/clementinepost/node/directory/TableDirectoryService.java
+++ b/node/src/main/java/org/clementinepost/node/directory/TableDirectoryService.java
@@ -18,6 +18,10 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.kernel.TimerService;
+import org.clementinepost.node.feed.FeedService;
+import org.clementinepost.node.feed.FeedServiceMessage;
+import org.clementinepost.node.feed.FeedTable;
+import org.clementinepost.node.feed.RelayedRowStore;
 import org.clementinepost.node.operator.OperatorMessage;
 import org.clementinepost.node.operator.OperatorService;
 import org.clementinepost.node.peer.PeerService;
@@ -41,15 +45,9 @@
  */
 public final class TableDirectoryService implements Behaviour<DirectoryMessage> {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final String TABLE = "nodes";
+  private static final String TABLE = FeedTable.NODES.tableName();
   private static final long LONG_POLL_MILLIS = 6_000;
 
-  /**
-   * The delay before the next poll after a change. Many rows often change at about the same time;
-   * one response can then carry all the changes.
-   */
-  private static final long BATCH_DELAY_MILLIS = 700;
-
   private static final long RETRY_DELAY_MILLIS = 500;
 
   private record VersionedNodeRow(NodeRow row, long version) {}
@@ -57,10 +55,12 @@
   private final TaskContext<DirectoryMessage> context;
   private final Member self;
   private final RowStore store;
+  private final RowStore feed;
   private final StoreAvailability availability;
   private Option<Long> knownVersion = Option.none();
   private Map<NodeId, VersionedNodeRow> otherNodes = HashMap.empty();
   private Vector<Member> members = Vector.empty();
+  private Vector<NodeId> relays = Vector.empty();
   private Map<ServiceId, Vector<Endpoint>> publishedEndpoints = HashMap.empty();
   private Vector<Endpoint> localEndpoints = Vector.empty();
   private Option<Row> ownRow = Option.none();
@@ -72,6 +72,7 @@
     this.context = context;
     this.self = self;
     this.store = store;
+    this.feed = new RelayedRowStore(store, context.registry());
     this.availability =
         new StoreAvailability(
             DirectoryService.NAME.text(),
@@ -92,8 +93,8 @@
   private void poll() {
     boolean complete = knownVersion.isEmpty();
     knownVersion
-        .map(version -> store.changesSince(TABLE, version, LONG_POLL_MILLIS))
-        .getOrElse(() -> store.read(TABLE))
+        .map(version -> feed.changesSince(TABLE, version, LONG_POLL_MILLIS))
+        .getOrElse(() -> feed.read(TABLE))
         .subscribe(page -> context.self().send(new DirectoryMessage.TableRead(complete, page)));
   }
 
@@ -155,16 +156,16 @@
     page.rows().forEach(this::applyRow);
     publishChanges();
     writeIfNeeded();
-    if (page.rows().isEmpty()) {
-      poll();
-      return null;
-    }
-    availability.callAfter(BATCH_DELAY_MILLIS);
+    poll();
     return null;
   }
 
   private void applyRow(Row row) {
     if (row.key().equals(self.node().value())) {
+      // The feed may bring a version of this row that is older than one this node has written.
+      if (ownRow.exists(known -> known.version() > row.version())) {
+        return;
+      }
       ownRow = row.value().isDefined() ? Option.some(row) : Option.none();
       return;
     }
@@ -188,6 +189,25 @@
     return null;
   }
 
+  /** Tells the feeds which nodes of the own failure domain relay tables. */
+  private void publishRelays() {
+    Vector<NodeId> current =
+        otherNodes
+            .values()
+            .map(VersionedNodeRow::row)
+            .filter(row -> row.relaysFeeds() && row.member().domain().equals(self.domain()))
+            .map(row -> row.member().node())
+            .toVector()
+            .appendAll(ownRow.map(row -> self.node()));
+    if (current.equals(relays)) {
+      return;
+    }
+    relays = current;
+    Vector.of(FeedTable.values())
+        .flatMap(table -> FeedService.find(context.registry(), table.tableName()))
+        .forEach(service -> service.send(new FeedServiceMessage.RelaysChanged(current)));
+  }
+
   private void publishMembers() {
     Vector<Member> current = otherNodes.values().map(node -> node.row().member()).toVector();
     if (current.equals(members)) {
@@ -209,6 +229,7 @@
   /** Sends changes of members and endpoints to the other services of this node. */
   private void publishChanges() {
     publishMembers();
+    publishRelays();
     Map<ServiceId, Vector<Endpoint>> current =
         otherNodes
             .values()
@@ -235,7 +256,7 @@
     Option<String> desired =
         localEndpoints.isEmpty() && (stopping || ownRow.isEmpty())
             ? Option.none()
-            : Option.some(new NodeRow(self, localEndpoints).toJson());
+            : Option.some(new NodeRow(self, localEndpoints, true).toJson());
     boolean upToDate = desired.equals(ownRow.flatMap(Row::value));
     if (writeInProgress || upToDate || knownVersion.isEmpty()) {
       return;
--- a/node/src/test/java/org/clementinepost/node/directory/NodeRowTest.java
+++ b/node/src/test/java/org/clementinepost/node/directory/NodeRowTest.java
@@ -35,7 +35,7 @@
     Endpoint endpoint =
         new Endpoint(
             new BackendServerId("i-1"), new ServiceId("s"), member.node(), member.domain(), 4);
-    NodeRow row = new NodeRow(member, Vector.of(endpoint));
+    NodeRow row = new NodeRow(member, Vector.of(endpoint), false);
 
     assertThat(NodeRow.fromJson("n", row.toJson()).get()).isEqualTo(row);
     assertThat(NodeRow.fromJson("n", ROW).get()).isEqualTo(row);
--- a/storage/src/main/java/org/clementinepost/storage/rows/OperatorChangePage.java
+++ b/storage/src/main/java/org/clementinepost/storage/rows/OperatorChangePage.java
@@ -9,6 +9,12 @@
  *     order
  * @param version the store's version at that moment, from which to wait for further changes
  * @param storeClockMillis that moment on the store's monotonic clock
+ * @param origin how the page reached its reader
  */
 public record OperatorChangePage(
-    Vector<OperatorChange> changes, long version, long storeClockMillis) {}
+    Vector<OperatorChange> changes, long version, long storeClockMillis, PageOrigin origin) {
+  /** Creates a page that the store sent after the reader's call. */
+  public OperatorChangePage(Vector<OperatorChange> changes, long version, long storeClockMillis) {
+    this(changes, version, storeClockMillis, new PageOrigin.AfterCall());
+  }
+}
--- a/storage/src/main/java/org/clementinepost/storage/rows/RowPage.java
+++ b/storage/src/main/java/org/clementinepost/storage/rows/RowPage.java
@@ -8,10 +8,16 @@
  * @param rows all rows, or those that have changed
  * @param version the store's version at that moment, from which to wait for further changes
  * @param storeClockMillis that moment on the store's monotonic clock
+ * @param origin how the page reached its reader
  */
-public record RowPage(Vector<Row> rows, long version, long storeClockMillis) {
+public record RowPage(Vector<Row> rows, long version, long storeClockMillis, PageOrigin origin) {
+  /** Creates a page that the store sent after the reader's call. */
+  public RowPage(Vector<Row> rows, long version, long storeClockMillis) {
+    this(rows, version, storeClockMillis, new PageOrigin.AfterCall());
+  }
+
   /** Returns this page with other rows. */
   public RowPage withRows(Vector<Row> newRows) {
-    return new RowPage(newRows, version, storeClockMillis);
+    return new RowPage(newRows, version, storeClockMillis, origin);
   }
 }
--- a/wire/src/main/java/org/clementinepost/wire/PeerCodec.java
+++ b/wire/src/main/java/org/clementinepost/wire/PeerCodec.java
@@ -47,7 +47,8 @@
             .appendAll(DirectoryMessageTypes.all())
             .appendAll(MembershipMessageTypes.all())
             .appendAll(QuotaMessageTypes.all())
-            .appendAll(HostReportMessageTypes.all()));
+            .appendAll(HostReportMessageTypes.all())
+            .appendAll(FeedMessageTypes.all()));
   }
 
   /** Encodes a message. */
--- a/wire/src/test/java/org/clementinepost/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/clementinepost/wire/PeerCodecTest.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.Arrays;
+import java.util.HexFormat;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -22,6 +23,9 @@
 import org.clementinepost.api.ResponseHead;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.peer.FeedPage;
+import org.clementinepost.api.peer.FeedPeerMessage;
+import org.clementinepost.api.peer.FeedRow;
 import org.clementinepost.api.peer.LinkMessage;
 import org.clementinepost.api.peer.PeerMessage;
 import org.clementinepost.api.peer.StreamMessage;
@@ -74,6 +78,41 @@
     assertRoundTrip(new LinkMessage.Pong(1));
   }
 
+  @Test
+  void roundTripsEveryFeedMessage() {
+    FeedPage page =
+        new FeedPage(
+            Vector.of(
+                new FeedRow("config", Option.some("{}"), 7),
+                new FeedRow("evacuate/a", Option.none(), 9)),
+            9,
+            1_234_567,
+            false);
+    assertRoundTrip(new FeedPeerMessage.Request("op", 3, 7, 1_234_000, 1_200));
+    assertRoundTrip(new FeedPeerMessage.Response("op", 3, Option.some(page)));
+    assertRoundTrip(new FeedPeerMessage.Response("op", 3, Option.none()));
+  }
+
+  @Test
+  void encodesFeedMessagesAsBefore() {
+    assertThat(hex(new FeedPeerMessage.Request("op", 3, 7, 300, 1_200)))
+        .isEqualTo("50a26f700307cd012ccd04b0");
+    assertThat(
+            hex(
+                new FeedPeerMessage.Response(
+                    "op",
+                    3,
+                    Option.some(
+                        new FeedPage(
+                            Vector.of(new FeedRow("k", Option.some("v"), 7)), 9, 300, true)))))
+        .isEqualTo("51a26f700309cd012cc391a16b07a176");
+    assertThat(hex(new FeedPeerMessage.Response("op", 3, Option.none()))).isEqualTo("51a26f7003c0");
+  }
+
+  private static String hex(PeerMessage message) {
+    return HexFormat.of().formatHex(CODEC.encode(message));
+  }
+
   @Test
   void rejectsTrailingBytes() {
     byte[] whole = CODEC.encode(new LinkMessage.Ping(1));
