Take over the quota lease at once from a leader that says it has lost it

Cause: the leader that can't renew its lease answers to the end of it and then says that it is not the leader.

Excluded: two leaders.

Change: LeaderResigned, mayBecomeLeader; token requests wait at the former leader while its write is undecided.

A leader that is gone without a word is still replaced after 8.5 s.

--- a/node/src/main/java/org/clementinepost/node/quota/LeaderElection.java
+++ b/node/src/main/java/org/clementinepost/node/quota/LeaderElection.java
@@ -67,6 +67,11 @@
     return state.isReleasing();
   }
 
+  /** Whether this node may be the leader soon, by a write of the lease row that is in flight. */
+  boolean mayBecomeLeader() {
+    return !isLeader() && policy.mayBecomeLeader(state);
+  }
+
   /** Returns the last known leader if it is another node. */
   Option<NodeId> otherLeader() {
     return state
--- a/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
@@ -228,6 +228,7 @@
     Option<PendingRequest> pending =
         pendingRequests.get(requestNumber).map(PendingRequest::asNotSentToLeader);
     pending.forEach(known -> pendingRequests = pendingRequests.put(requestNumber, known));
+    onLeaderLeaseEvent(new LeaderLeaseEvent.LeaderResigned(formerLeader));
     if (leaderElection.otherLeader().exists(node -> !node.equals(formerLeader))) {
       pending.forEach(known -> sendToLeader(requestNumber, known));
       return;
--- a/node/src/main/java/org/clementinepost/node/quota/TokenIssuer.java
+++ b/node/src/main/java/org/clementinepost/node/quota/TokenIssuer.java
@@ -13,9 +13,10 @@
 /**
  * Issues tokens while this node is the quota leader, and answers token requests of other nodes.
  *
- * <p>Token requests that arrive while the lease is being released are deferred until the store has
- * confirmed the release. The reply that this node is not the leader makes the requester read the
- * lease row, which must no longer hold this node's lease.
+ * <p>The reply that this node is not the leader makes the requester take the lease over. Token
+ * requests that arrive while a write of the lease row is in flight are therefore deferred until it
+ * is known how the write ended: the row must no longer hold this node's lease, nor may this node
+ * become the leader by it.
  */
 final class TokenIssuer {
   private static final int MAX_DEFERRED_REQUESTS = 1_024;
@@ -61,16 +62,23 @@
   }
 
   void onTokenRequest(NodeId from, QuotaPeerMessage.TokenRequest request) {
-    if (leaderElection.isReleasing() && deferredRequests.size() < MAX_DEFERRED_REQUESTS) {
-      deferredRequests = deferredRequests.append(new DeferredRequest(from, request));
+    if (!isUndecided()) {
+      sender.accept(from, response(request));
       return;
     }
-    sender.accept(from, response(request));
+    // Beyond the maximum the requester gets no reply, and asks again.
+    if (deferredRequests.size() < MAX_DEFERRED_REQUESTS) {
+      deferredRequests = deferredRequests.append(new DeferredRequest(from, request));
+    }
+  }
+
+  private boolean isUndecided() {
+    return leaderElection.isReleasing() || leaderElection.mayBecomeLeader();
   }
 
-  /** Answers the deferred token requests once the store has confirmed the release of the lease. */
+  /** Answers the deferred token requests once it is known how the write of the lease row ended. */
   void answerDeferredRequests() {
-    if (leaderElection.isReleasing() || deferredRequests.isEmpty()) {
+    if (isUndecided() || deferredRequests.isEmpty()) {
       return;
     }
     deferredRequests.forEach(
--- a/policy/src/main/java/org/clementinepost/policy/quota/LeaderLeaseEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/LeaderLeaseEvent.java
@@ -1,6 +1,7 @@
 package org.clementinepost.policy.quota;
 
 import io.vavr.control.Option;
+import org.clementinepost.api.NodeId;
 
 /**
  * An input to {@link LeaderLeasePolicy}.
@@ -17,6 +18,9 @@
   /** The leader has responded to a token request. */
   record LeaderResponded(long nowNanos) implements LeaderLeaseEvent {}
 
+  /** A node has answered a token request that it is not the leader. */
+  record LeaderResigned(NodeId node) implements LeaderLeaseEvent {}
+
   /**
    * The lease row has been read.
    *
--- a/policy/src/main/java/org/clementinepost/policy/quota/LeaderLeasePolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/quota/LeaderLeasePolicy.java
@@ -8,9 +8,11 @@
  * Elects the quota leader, the one node that issues tokens, by a lease on a row of the store.
  *
  * <p>The leader renews its lease by writing the row. Another node takes over only after the row has
- * been unchanged and the leader unresponsive for longer than a lease lasts. A node that finds an
- * earlier incarnation of itself in the row takes over immediately, since that process is gone. Two
- * nodes never issue tokens at the same time, whatever the network partition.
+ * been unchanged and the leader unresponsive for longer than a lease lasts. It takes over
+ * immediately if the node in the row has answered that it is not the leader any more, or is an
+ * earlier incarnation of itself: neither issues tokens again without writing the row first, and the
+ * takeover fails if the row has been written. Two nodes never issue tokens at the same time,
+ * whatever the network partition.
  *
  * @param ownLease the lease row's content when this node is the leader
  */
@@ -34,6 +36,16 @@
         .exists(sentNanos -> suspendAwareNanos - sentNanos < LEASE_DURATION_NANOS);
   }
 
+  /**
+   * Whether this node may still become the leader by a write that is in flight.
+   *
+   * <p>Until it is known how the write ended, the node must not say that it isn't the leader:
+   * another node would take over at once, and this one would become a second leader.
+   */
+  public boolean mayBecomeLeader(LeaderLeaseState state) {
+    return state.isRunning() && state.writeInFlight();
+  }
+
   @Override
   public Step<LeaderLeaseState, LeaderLeaseEffect> decide(
       LeaderLeaseState state, LeaderLeaseEvent event) {
@@ -43,6 +55,9 @@
     if (event instanceof LeaderLeaseEvent.LeaderResponded responded) {
       return Step.to(state.withLeaderResponse(responded.nowNanos()));
     }
+    if (event instanceof LeaderLeaseEvent.LeaderResigned resigned) {
+      return Step.to(state.withResigned(resigned.node()));
+    }
     if (event instanceof LeaderLeaseEvent.RowRead read) {
       return onRowRead(state, read);
     }
@@ -64,7 +79,7 @@
   private static Step<LeaderLeaseState, LeaderLeaseEffect> onLeaderUnavailable(
       LeaderLeaseState state, long nowNanos) {
     long minReadIntervalNanos =
-        state.lease().contains(LeaderLease.released())
+        state.lease().contains(LeaderLease.released()) || state.hasLeaderResigned()
             ? RELEASED_MIN_READ_INTERVAL_NANOS
             : MIN_READ_INTERVAL_NANOS;
     boolean tooSoon = nowNanos - state.lastReadNanos() < minReadIntervalNanos;
@@ -96,6 +111,9 @@
     if (state.lease().exists(lease -> lease.node().equals(ownLease.node()))) {
       return true;
     }
+    if (state.hasLeaderResigned()) {
+      return true;
+    }
     return nowNanos - state.unchangedSinceNanos() >= LEASE_DURATION_NANOS + TAKEOVER_MARGIN_NANOS;
   }
 
--- a/policy/src/test/java/org/clementinepost/policy/quota/LeaderLeasePolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/quota/LeaderLeasePolicyTest.java
@@ -75,6 +75,73 @@
     assertThat(late.effects()).containsExactly(new LeaderLeaseEffect.WriteRow(SECOND, 7));
   }
 
+  @Test
+  void replacesLeaderThatSaysItIsNoLongerLeaderAtOnce() {
+    Option<LeaderLease> row = Option.some(FIRST);
+    LeaderLeaseState following =
+        second
+            .decide(LeaderLeaseState.initial(), new LeaderLeaseEvent.RowRead(row, 7, nanos(1_000)))
+            .state();
+    LeaderLeaseState responded =
+        second.decide(following, new LeaderLeaseEvent.LeaderResponded(nanos(7_900))).state();
+    LeaderLeaseState resigned =
+        second.decide(responded, new LeaderLeaseEvent.LeaderResigned(FIRST.node())).state();
+    Step<LeaderLeaseState, LeaderLeaseEffect> read =
+        second.decide(resigned, new LeaderLeaseEvent.LeaderUnavailable(nanos(8_000)));
+    assertThat(read.effects()).containsExactly(new LeaderLeaseEffect.ReadRow());
+    assertThat(
+            second
+                .decide(read.state(), new LeaderLeaseEvent.RowRead(row, 7, nanos(8_005)))
+                .effects())
+        .containsExactly(new LeaderLeaseEffect.WriteRow(SECOND, 7));
+  }
+
+  @Test
+  void doesNotReplaceLeaderThatHasWrittenTheRowSinceItResigned() {
+    Option<LeaderLease> row = Option.some(FIRST);
+    LeaderLeaseState following =
+        second
+            .decide(LeaderLeaseState.initial(), new LeaderLeaseEvent.RowRead(row, 7, nanos(1_000)))
+            .state();
+    LeaderLeaseState resigned =
+        second.decide(following, new LeaderLeaseEvent.LeaderResigned(FIRST.node())).state();
+    assertThat(
+            second.decide(resigned, new LeaderLeaseEvent.RowRead(row, 8, nanos(8_005))).effects())
+        .isEmpty();
+  }
+
+  @Test
+  void nodeWhoseWriteIsInFlightMayStillBecomeLeader() {
+    LeaderLeaseState taking =
+        first
+            .decide(
+                LeaderLeaseState.initial(),
+                new LeaderLeaseEvent.RowRead(Option.none(), 0, nanos(0)))
+            .state();
+    assertThat(first.mayBecomeLeader(taking)).isTrue();
+    LeaderLeaseState failed = first.decide(taking, new LeaderLeaseEvent.StoreCallFailed()).state();
+    assertThat(first.mayBecomeLeader(failed)).isFalse();
+    LeaderLeaseState renewing =
+        first.decide(leaderState(), new LeaderLeaseEvent.Tick(nanos(3_000))).state();
+    LeaderLeaseState expired =
+        first.decide(renewing, new LeaderLeaseEvent.Tick(nanos(8_000))).state();
+    assertThat(first.isLeader(expired, nanos(8_000))).isFalse();
+    assertThat(first.mayBecomeLeader(expired)).isTrue();
+  }
+
+  @Test
+  void ignoresThatAnotherNodeThanTheLeaderIsNotLeader() {
+    Option<LeaderLease> row = Option.some(FIRST);
+    LeaderLeaseState following =
+        second
+            .decide(LeaderLeaseState.initial(), new LeaderLeaseEvent.RowRead(row, 7, nanos(1_000)))
+            .state();
+    LeaderLeaseState other =
+        second.decide(following, new LeaderLeaseEvent.LeaderResigned(new NodeId("third"))).state();
+    assertThat(second.decide(other, new LeaderLeaseEvent.RowRead(row, 7, nanos(2_000))).effects())
+        .isEmpty();
+  }
+
   @Test
   void keepsLeaderThatRenewsOrResponds() {
     Option<LeaderLease> row = Option.some(FIRST);
