Tell refused requests when to come back, one after the other

Cause: every request over its customer's rate was told 500 ms and every other refused one 300 ms, so that those refused together came back together and most were refused again; the wait that the quota leader sent was read by nobody.

Change: ReturnSchedule gives each refused request of a customer its own time, at the rate at which tokens become available; Failure carries it. Where no time is known for a request, the delay is spread over up to twice its length.

Not done: a time from the backlog of a host, which the message between nodes has no field for.

--- a/api/src/main/java/org/clementinepost/api/peer/QuotaPeerMessage.java
+++ b/api/src/main/java/org/clementinepost/api/peer/QuotaPeerMessage.java
@@ -18,7 +18,7 @@
    * @param requestNumber the number of the token request
    * @param leader whether the responding node is the leader; the response is valid only then
    * @param granted whether a token was granted
-   * @param waitMillis the time until the next token is available, if none was granted
+   * @param waitMillis the time after which the request may be sent again, if none was granted
    */
   record TokenResponse(long requestNumber, boolean leader, boolean granted, long waitMillis)
       implements QuotaPeerMessage {}
--- a/node/src/main/java/org/clementinepost/node/edge/ResponseWriter.java
+++ b/node/src/main/java/org/clementinepost/node/edge/ResponseWriter.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.Locale;
+import java.util.concurrent.ThreadLocalRandom;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.RequestId;
@@ -32,10 +33,24 @@
   private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 300;
   private static final long QUOTA_RETRY_AFTER_MILLIS = 500;
 
+  /** The part by which a delay is lengthened at most. */
+  private static final double RETRY_AFTER_SPREAD = 1;
+
   private ResponseWriter() {}
 
-  /** Returns the delay after which a refused request may succeed. */
-  private static Option<Long> retryAfterMillis(Failure failure) {
+  /**
+   * Returns the delay after which a refused request may succeed. Where it is not known for this
+   * request, it is spread, so that callers refused together do not come back together.
+   */
+  static Option<Long> retryAfterMillis(Failure failure, double randomFraction) {
+    if (failure.retryAfterMillis().isDefined()) {
+      return failure.retryAfterMillis();
+    }
+    return defaultRetryAfterMillis(failure)
+        .map(millis -> Math.round(millis * (1 + RETRY_AFTER_SPREAD * randomFraction)));
+  }
+
+  private static Option<Long> defaultRetryAfterMillis(Failure failure) {
     return switch (failure.code().httpStatus()) {
       case HttpDialect.SERVICE_UNAVAILABLE_STATUS -> Option.some(UNAVAILABLE_RETRY_AFTER_MILLIS);
       case HttpDialect.TOO_MANY_REQUESTS_STATUS -> Option.some(QUOTA_RETRY_AFTER_MILLIS);
@@ -80,12 +95,12 @@
   private static Publisher<Void> writeFailure(
       RequestId id, HttpServerResponse response, Failure failure) {
     String body = ProblemDetails.toJson(id, failure);
-    retryAfterMillis(failure)
+    retryAfterMillis(failure, ThreadLocalRandom.current().nextDouble())
         .forEach(
             millis ->
                 response.header(
                     HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.1f", millis / MILLIS_PER_SECOND)));
+                    String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)));
     return response
         .status(failure.code().httpStatus())
         .header(HttpHeaderNames.CONTENT_TYPE, PROBLEM_JSON)
--- a/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
@@ -182,18 +182,24 @@
   private void takeTokenAsLeader(
       Customer customer, RequestHead head, Reply<Either<Failure, RequestHead>> reply) {
     if (!tokenIssuer.takeToken(customer)) {
-      refuse(head, reply, ResultCode.QUOTA_EXCEEDED);
+      refuse(head, reply, quotaExceeded(tokenIssuer.returnWaitMillis(customer)));
       return;
     }
     reply.send(Either.right(head));
   }
 
   private static void refuse(
-      RequestHead head, Reply<Either<Failure, RequestHead>> reply, ResultCode code) {
+      RequestHead head, Reply<Either<Failure, RequestHead>> reply, Failure failure) {
     logger.atInfo().log(
         "event=quota-refused request=%s customer=%s code=%d",
-        head.requestId(), head.customer().map(Object::toString).getOrElse(""), code.number());
-    reply.send(Either.left(Failure.of(code)));
+        head.requestId(),
+        head.customer().map(Object::toString).getOrElse(""),
+        failure.code().number());
+    reply.send(Either.left(failure));
+  }
+
+  private static Failure quotaExceeded(long returnWaitMillis) {
+    return Failure.of(ResultCode.QUOTA_EXCEEDED).withRetryAfter(returnWaitMillis);
   }
 
   private void sendToLeader(long requestNumber, PendingRequest pending) {
@@ -220,7 +226,7 @@
     onLeaderLeaseEvent(new LeaderLeaseEvent.LeaderResponded(context.clock().nowNanos()));
     Option<PendingRequest> pending = pendingRequests.get(response.requestNumber());
     pendingRequests = pendingRequests.remove(response.requestNumber());
-    pending.forEach(known -> complete(known, response.granted()));
+    pending.forEach(known -> complete(known, response));
   }
 
   /** Sends the token request to the new leader if it is known, and looks it up otherwise. */
@@ -236,12 +242,12 @@
     onLeaderLeaseEvent(new LeaderLeaseEvent.LeaderUnavailable(context.clock().nowNanos()));
   }
 
-  private static void complete(PendingRequest pending, boolean granted) {
-    if (granted) {
+  private static void complete(PendingRequest pending, QuotaPeerMessage.TokenResponse response) {
+    if (response.granted()) {
       pending.reply().send(Either.right(pending.head()));
       return;
     }
-    refuse(pending.head(), pending.reply(), ResultCode.QUOTA_EXCEEDED);
+    refuse(pending.head(), pending.reply(), quotaExceeded(response.waitMillis()));
   }
 
   private void scheduleSweep() {
@@ -258,7 +264,7 @@
       long ageNanos = nowNanos - entry._2.startedNanos();
       if (ageNanos >= GIVE_UP_AFTER_NANOS) {
         pendingRequests = pendingRequests.remove(entry._1);
-        refuse(entry._2.head(), entry._2.reply(), ResultCode.QUOTA_UNAVAILABLE);
+        refuse(entry._2.head(), entry._2.reply(), Failure.of(ResultCode.QUOTA_UNAVAILABLE));
         continue;
       }
       if (ageNanos >= OVERDUE_AFTER_NANOS && !entry._2.overdue()) {
--- a/node/src/main/java/org/clementinepost/node/quota/TokenIssuer.java
+++ b/node/src/main/java/org/clementinepost/node/quota/TokenIssuer.java
@@ -9,6 +9,7 @@
 import org.clementinepost.api.peer.QuotaPeerMessage;
 import org.clementinepost.kernel.MonotonicClock;
 import org.clementinepost.policy.quota.QuotaBuckets;
+import org.clementinepost.policy.quota.ReturnSchedule;
 
 /**
  * Issues tokens while this node is the quota leader, and answers token requests of other nodes.
@@ -29,6 +30,7 @@
   private final BiConsumer<NodeId, QuotaPeerMessage> sender;
   private Snapshot snapshot = Snapshot.empty();
   private QuotaBuckets buckets;
+  private ReturnSchedule returnSchedule = ReturnSchedule.EMPTY;
   private Vector<DeferredRequest> deferredRequests = Vector.empty();
 
   TokenIssuer(
@@ -54,6 +56,15 @@
     buckets = firstLeader ? QuotaBuckets.fullAt(nowNanos) : QuotaBuckets.emptyAt(nowNanos);
   }
 
+  /** Gives a refused request of a customer a time to come back, in milliseconds from now. */
+  long returnWaitMillis(Customer customer) {
+    long nowNanos = clock.nowNanos();
+    ReturnSchedule.Slot slot =
+        returnSchedule.next(customer, buckets.waitMillis(customer, nowNanos), nowNanos);
+    returnSchedule = slot.schedule();
+    return slot.waitMillis();
+  }
+
   /** Takes a token of a customer; returns whether there was one. */
   boolean takeToken(Customer customer) {
     Option<QuotaBuckets> bucketsAfter = buckets.take(customer, clock.nowNanos());
@@ -96,6 +107,6 @@
       return new QuotaPeerMessage.TokenResponse(request.requestNumber(), true, true, 0);
     }
     return new QuotaPeerMessage.TokenResponse(
-        request.requestNumber(), true, false, buckets.waitMillis(customer.get(), clock.nowNanos()));
+        request.requestNumber(), true, false, returnWaitMillis(customer.get()));
   }
 }
