--- a/node/src/test/java/org/clementinepost/node/OddEntryTest.java
+++ b/node/src/test/java/org/clementinepost/node/OddEntryTest.java
@@ -4,21 +4,17 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import java.time.Duration;
 import org.clementinepost.testing.rows.HeartbeatBackendStandIn;
 import org.clementinepost.testing.rows.RowStoreStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import reactor.core.publisher.Mono;
-import reactor.netty.http.client.HttpClient;
 
 /**
  * Checks that a node keeps following each table that it reads after another writer has left entries
  * there that are nested too deeply, have numbers or ports out of range, or are not JSON at all.
  */
 final class OddEntryTest {
-  private static final Duration TIMEOUT = RowStoreNodes.TIMEOUT;
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int SERVICE_UNAVAILABLE = 503;
@@ -74,19 +70,7 @@
   }
 
   private int statusOf(String path) {
-    return HttpClient.create()
-        .headers(
-            headers ->
-                headers
-                    .set("Host", "a.example")
-                    .set("Attempt-Id", "attempt")
-                    .set("Deadline-Ms", "4000")
-                    .set("Authorization", "Bearer k"))
-        .get()
-        .uri("http://" + RowStoreNodes.ingressAddress(ingress) + path)
-        .responseSingle(
-            (response, content) -> content.asByteArray().then(Mono.just(response.status().code())))
-        .block(TIMEOUT);
+    return RowStoreNodes.statusOf(ingress, path);
   }
 
   private void await(String path, int status) {
--- a/node/src/test/java/org/clementinepost/node/RelayedFeedTest.java
+++ b/node/src/test/java/org/clementinepost/node/RelayedFeedTest.java
@@ -9,8 +9,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import reactor.core.publisher.Mono;
-import reactor.netty.http.client.HttpClient;
 
 /** Tests six nodes of one failure domain, most of which follow the store through others. */
 final class RelayedFeedTest {
@@ -44,7 +42,7 @@
   void publishConfiguration() throws Exception {
     store.put("op", "config", configuration(2, "first"));
     for (Node node : nodes) {
-      RowStoreNodes.await(() -> statusOf(node, "/first/x") == OK);
+      RowStoreNodes.await(() -> RowStoreNodes.statusOf(node, "/first/x") == OK);
     }
     // The rows of all nodes have arrived everywhere, and the polls of the start have ended.
     TimeUnit.SECONDS.sleep(7);
@@ -57,35 +55,19 @@
     store.close();
   }
 
-  private static int statusOf(Node node, String path) {
-    return HttpClient.create()
-        .headers(
-            headers ->
-                headers
-                    .set("Host", "a.example")
-                    .set("Attempt-Id", "attempt")
-                    .set("Deadline-Ms", "4000")
-                    .set("Authorization", "Bearer k"))
-        .get()
-        .uri("http://" + RowStoreNodes.ingressAddress(node) + path)
-        .responseSingle(
-            (response, content) -> content.asByteArray().then(Mono.just(response.status().code())))
-        .block(RowStoreNodes.TIMEOUT);
-  }
-
   @Test
   void fewNodesCallTheStoreAndAllFollowChangesAndKeepKeys() throws Exception {
     long before = store.callCount();
     for (int second = 0; second < OBSERVED_SECONDS; second++) {
       TimeUnit.SECONDS.sleep(1);
-      assertThat(nodes.map(node -> statusOf(node, "/first/x"))).containsOnly(OK);
+      assertThat(nodes.map(node -> RowStoreNodes.statusOf(node, "/first/x"))).containsOnly(OK);
     }
     assertThat(store.callCount() - before).isLessThan(CALLS_OF_POLLING_NODES);
 
     store.put("op", "config", configuration(3, "second"));
     for (Node node : nodes) {
-      RowStoreNodes.await(() -> statusOf(node, "/second/x") == OK);
-      assertThat(statusOf(node, "/first/x")).isEqualTo(NOT_FOUND);
+      RowStoreNodes.await(() -> RowStoreNodes.statusOf(node, "/second/x") == OK);
+      assertThat(RowStoreNodes.statusOf(node, "/first/x")).isEqualTo(NOT_FOUND);
     }
   }
 }
--- a/node/src/test/java/org/clementinepost/node/RowStoreNodes.java
+++ b/node/src/test/java/org/clementinepost/node/RowStoreNodes.java
@@ -14,6 +14,7 @@
 import org.clementinepost.testing.rows.RowStoreStandIn;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.client.HttpClient;
 
 /** Starts nodes of one failure domain on a row store, and waits for what they do. */
 final class RowStoreNodes {
@@ -64,6 +65,23 @@
     return new NetworkAddress("127.0.0.1", node.ports().block(TIMEOUT).ingress());
   }
 
+  /** Sends a GET request with the key {@code k} and returns the status of its response. */
+  static int statusOf(Node node, String path) {
+    return HttpClient.create()
+        .headers(
+            headers ->
+                headers
+                    .set("Host", "a.example")
+                    .set("Attempt-Id", "attempt")
+                    .set("Deadline-Ms", "4000")
+                    .set("Authorization", "Bearer k"))
+        .get()
+        .uri("http://" + ingressAddress(node) + path)
+        .responseSingle(
+            (response, content) -> content.asByteArray().then(Mono.just(response.status().code())))
+        .block(TIMEOUT);
+  }
+
   static void await(BooleanSupplier condition) {
     Mono.fromSupplier(condition::getAsBoolean)
         .filter(isMet -> isMet)
