--- a/policy/src/main/java/org/clementinepost/policy/feed/FeedPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/feed/FeedPolicy.java
@@ -32,6 +32,9 @@
   /** With older news, the store is asked not to wait, so that its answer brings newer news soon. */
   private static final long MAX_NEWS_AGE_FOR_LONG_POLL_MILLIS = 1_000;
 
+  /** Longer than the store's client waits, in case the end of a call gets lost within the node. */
+  private static final long STORE_GRACE_MILLIS = 10_000;
+
   private static final long AVOID_RELAY_MILLIS = 10_000;
 
   /** How long a reader that the store has failed prefers relays. */
@@ -93,12 +96,16 @@
             .avoidedUntilNanos(
                 state.avoidedUntilNanos().filterValues(untilNanos -> nowNanos < untilNanos))
             .build();
-    for (FeedState.Fetch fetch : next.fetch()) {
-      if (fetch.source() instanceof FeedSource.Relay relay && nowNanos >= fetch.deadlineNanos()) {
-        return Step.to(avoid(next, relay.node(), nowNanos));
-      }
+    Option<FeedState.Fetch> overdue =
+        next.fetch().filter(fetch -> nowNanos >= fetch.deadlineNanos());
+    if (overdue.isEmpty()) {
+      return Step.to(next);
     }
-    return Step.to(next);
+    return onFailure(
+        next.toBuilder().fetch(Option.none()).build(),
+        overdue.get().source(),
+        Failure.of(ResultCode.PLATFORM_UNAVAILABLE, "no answer"),
+        nowNanos);
   }
 
   private static FeedState avoid(FeedState state, NodeId relay, long nowNanos) {
@@ -255,7 +262,8 @@
               .nextFetchNanos(nowNanos + delayNanos)
               .build());
     }
-    return Step.to(withFetch(state, source, Long.MAX_VALUE), readStore(state, nowNanos));
+    long deadlineNanos = nowNanos + nanos(timing.longPollMillis() + STORE_GRACE_MILLIS);
+    return Step.to(withFetch(state, source, deadlineNanos), readStore(state, nowNanos));
   }
 
   private FeedSource chooseSource(FeedState state, long nowNanos) {
@@ -322,9 +330,6 @@
     for (FeedSubscriber subscriber : state.subscribers()) {
       dueNanos = Math.min(dueNanos, subscriber.deadlineNanos());
     }
-    if (dueNanos == Long.MAX_VALUE) {
-      return Step.to(state);
-    }
     long delayMillis = TimeUnit.NANOSECONDS.toMillis(Math.max(0, dueNanos - nowNanos)) + 1;
     return Step.to(state, new FeedEffect.ScheduleTick(delayMillis));
   }
--- a/policy/src/main/java/org/clementinepost/policy/feed/FeedState.java
+++ b/policy/src/main/java/org/clementinepost/policy/feed/FeedState.java
@@ -41,7 +41,7 @@
    *
    * @param number the number of the fetch
    * @param source the source that is asked
-   * @param deadlineNanos when the source is given up; never for the store, whose client gives up
+   * @param deadlineNanos when the source is given up
    */
   record Fetch(long number, FeedSource source, long deadlineNanos) {}
 
--- a/policy/src/test/java/org/clementinepost/policy/feed/FeedPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/feed/FeedPolicyTest.java
@@ -3,7 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.clementinepost.api.NodeId;
+import org.clementinepost.kernel.Step;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -163,6 +167,19 @@
     assertThat(callsPerNodeAndSecond(fleet, FLEET, 10_000)).isLessThan(0.1);
   }
 
+  @Test
+  void readThatNeverEndsIsGivenUp() {
+    FeedPolicy policy = new FeedPolicy("table", new NodeId("n"), OPERATORS);
+    Step<FeedState, FeedEffect> first =
+        policy.decide(FeedState.initial(), new FeedEvent.Tick(0, 0));
+    assertThat(first.effects()).contains(new FeedEffect.ReadStore(1, Option.none(), 0));
+    Step<FeedState, FeedEffect> late =
+        policy.decide(first.state(), new FeedEvent.Tick(0, TimeUnit.SECONDS.toNanos(20)));
+    Step<FeedState, FeedEffect> next =
+        policy.decide(late.state(), new FeedEvent.Tick(0, TimeUnit.SECONDS.toNanos(22)));
+    assertThat(next.effects()).contains(new FeedEffect.ReadStore(2, Option.none(), 0));
+  }
+
   @Test
   void lostHistoryLosesNoRemoval() {
     FeedSimulation fleet = settledFleet(FLEET, OPERATORS, 10);
