--- a/policy/src/main/java/org/clementinepost/policy/routing/RetryLimits.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/RetryLimits.java
@@ -19,6 +19,9 @@
   /** The rest is left for the calls that backend servers make while they run a retry. */
   private static final double USABLE_PART = 0.8;
 
+  /** The part of a node's share of the burst that it may hold; it begins with the rest. */
+  private static final double HELD_PART = 0.8;
+
   /** The limits of a node that doesn't know the size of its fleet yet. */
   static final RetryLimits UNKNOWN_FLEET = ofFleet(0.2, 0, 1);
 
@@ -32,7 +35,7 @@
   public static RetryLimits ofFleet(double fraction, double fleetBurst, int nodes) {
     long share = (long) (MILLI_TOKENS_PER_RETRY * fleetBurst / Math.max(1, nodes));
     // A node that could not hold one whole retry would never send any.
-    long max = Math.max(MILLI_TOKENS_PER_RETRY, share / 2);
+    long max = Math.max(MILLI_TOKENS_PER_RETRY, (long) (share * HELD_PART));
     return new RetryLimits(
         (long) (MILLI_TOKENS_PER_RETRY * fraction * USABLE_PART), max, Math.max(0, share - max));
   }
