Read the echo of an upload while it is sent

The echo stops reading when nobody reads its response, so that the upload stands still until the node closes a connection that has sent nothing for 20 s. 20 MB pass only while the socket buffers on the way hold them, which grow less beside load.

Excluded: the node.

Change: DuplexUpload reads while it sends; the upload is 60 MB in place of 20, compared byte for byte as before.

--- a/node/src/test/java/org/clementinepost/node/system/EndToEndProcessTest.java
+++ b/node/src/test/java/org/clementinepost/node/system/EndToEndProcessTest.java
@@ -13,7 +13,7 @@
 
 /** Tests requests through nodes and backend servers that run as processes. */
 final class EndToEndProcessTest {
-  private static final int UPLOAD_BYTES = 20_000_000;
+  private static final int UPLOAD_BYTES = 60_000_000;
   private static final long SEED = 20_261_204;
 
   @TempDir private static Path folder;
@@ -61,11 +61,9 @@
     byte[] upload = new byte[UPLOAD_BYTES];
     new Random(SEED).nextBytes(upload);
     for (String node : fleet.nodeNames()) {
-      HttpRequest request =
-          fleet.request(node, "/echo").POST(HttpRequest.BodyPublishers.ofByteArray(upload)).build();
-      HttpResponse<byte[]> response =
-          fleet.client().send(request, HttpResponse.BodyHandlers.ofByteArray());
-      assertThat(response.statusCode()).isEqualTo(200);
+      DuplexUpload.Response response =
+          DuplexUpload.post(fleet.uri(node, "/echo"), ProcessFleet.KEY, upload);
+      assertThat(response.head()).startsWith("http/1.1 200");
       assertThat(response.body()).isEqualTo(upload);
     }
   }
--- a/node/src/test/java/org/clementinepost/node/system/ProcessFleet.java
+++ b/node/src/test/java/org/clementinepost/node/system/ProcessFleet.java
@@ -180,10 +180,6 @@
     return client.send(request, HttpResponse.BodyHandlers.ofString());
   }
 
-  HttpClient client() {
-    return client;
-  }
-
   /** Returns the requests that a backend server has received. */
   String received(String server) throws Exception {
     return send(HttpRequest.newBuilder(URI.create(server(server).text("url") + "/received"))
