Find a reader that has failed before a change has to be in force

Cause: a node in touch followed the store through a reader that had lost it, and left it only after 3.2 s without news.

Change: the reader's poll lasts 0.9 s and a relay without news for 1.3 s is left; one node in each failure domain reads a table in place of two, so that one failure is found by one vain question, and the calls stay as few.

--- a/node/src/main/java/org/clementinepost/node/feed/FeedTable.java
+++ b/node/src/main/java/org/clementinepost/node/feed/FeedTable.java
@@ -8,10 +8,10 @@
 /** The tables that nodes follow, and may relay to other nodes. */
 public enum FeedTable {
   /**
-   * The operators' changes. The poll is short, so that an unresponsive store is detected and polled
-   * again within about 3 s, before the confirmation of the keys expires.
+   * The operators' changes. The poll is short, so that a reader that has lost the store is found by
+   * those that ask it before a change has to be in force.
    */
-  OPERATORS(OperatorTable.TABLE, new FeedTiming(2_300, 0, 250)),
+  OPERATORS(OperatorTable.TABLE, new FeedTiming(900, 0, 250)),
 
   /** The nodes and their backend servers. Many rows often change at about the same time. */
   NODES("nodes", new FeedTiming(6_000, 700, 500));
--- a/policy/src/main/java/org/clementinepost/policy/feed/FeedPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/feed/FeedPolicy.java
@@ -21,13 +21,13 @@
  * younger. A node without fresh news from a relay asks another one, and then the store itself.
  */
 public final class FeedPolicy implements Decision<FeedState, FeedEvent, FeedEffect> {
-  private static final long RELAY_WAIT_MILLIS = 1_200;
+  private static final long RELAY_WAIT_MILLIS = 700;
 
   /** The wait at a relay while the copy is stale; another relay may have news. */
-  private static final long STALE_RELAY_WAIT_MILLIS = 300;
+  private static final long STALE_RELAY_WAIT_MILLIS = 100;
 
   /** The time for the answer of a relay beyond its wait. */
-  private static final long RELAY_GRACE_MILLIS = 400;
+  private static final long RELAY_GRACE_MILLIS = 250;
 
   /** With older news, the store is asked not to wait, so that its answer brings newer news soon. */
   private static final long MAX_NEWS_AGE_FOR_LONG_POLL_MILLIS = 1_000;
@@ -41,7 +41,7 @@
   private static final long AVOID_STORE_MILLIS = 5_000;
 
   /** Spreads the fallback of many nodes, so that a store that returns is not met by all at once. */
-  private static final long MAX_FALLBACK_DELAY_MILLIS = 600;
+  private static final long MAX_FALLBACK_DELAY_MILLIS = 300;
 
   /** The pause between two fallbacks to a store that fails. */
   private static final long FAILED_FALLBACK_PAUSE_MILLIS = 1_000;
--- a/policy/src/main/java/org/clementinepost/policy/feed/FeedTiming.java
+++ b/policy/src/main/java/org/clementinepost/policy/feed/FeedTiming.java
@@ -10,7 +10,7 @@
  */
 public record FeedTiming(long longPollMillis, long batchMillis, long retryMillis) {
   /** The time beyond a long poll after which its response is late. */
-  private static final long STALE_MARGIN_MILLIS = 900;
+  private static final long STALE_MARGIN_MILLIS = 400;
 
   /** Returns the age of the last news from the store after which a relay is taken for stale. */
   long staleAfterMillis() {
--- a/policy/src/main/java/org/clementinepost/policy/feed/RelayRanking.java
+++ b/policy/src/main/java/org/clementinepost/policy/feed/RelayRanking.java
@@ -14,8 +14,11 @@
  * and one that is taken for a reader without knowing relays what it has from its own source.
  */
 final class RelayRanking {
-  /** The nodes of a failure domain that read a table from the store. */
-  private static final int READERS = 2;
+  /**
+   * The nodes of a failure domain that read a table from the store. With one, its failure is found
+   * after one relay was asked in vain.
+   */
+  private static final int READERS = 1;
 
   /** The nodes tried, in order of rank, before a node falls back to the store. */
   private static final int MAX_RELAYS_TRIED = 4;
@@ -39,14 +42,9 @@
     return ranked.size() <= READERS + 1 || usable.take(READERS).contains(self);
   }
 
-  /** Returns the relay to ask, if one is left. Nodes divide over the readers by their names. */
+  /** Returns the relay to ask, if one is left. */
   Option<NodeId> relay(Vector<NodeId> ranked, Map<NodeId, Long> avoided) {
-    Vector<NodeId> others =
-        usable(ranked.remove(self).take(MAX_RELAYS_TRIED), avoided).take(READERS);
-    if (others.isEmpty()) {
-      return Option.none();
-    }
-    return Option.some(others.get(Math.floorMod(StableHash.of(self.value()), others.size())));
+    return usable(ranked.remove(self).take(MAX_RELAYS_TRIED), avoided).headOption();
   }
 
   private static Vector<NodeId> usable(Vector<NodeId> nodes, Map<NodeId, Long> avoided) {
--- a/policy/src/test/java/org/clementinepost/policy/feed/FeedPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/feed/FeedPolicyTest.java
@@ -18,12 +18,15 @@
  * faults. {@link FeedSimulation} checks the promises that hold at every step.
  */
 final class FeedPolicyTest {
-  private static final FeedTiming OPERATORS = new FeedTiming(2_300, 0, 250);
+  private static final FeedTiming OPERATORS = new FeedTiming(900, 0, 250);
   private static final FeedTiming NODES = new FeedTiming(6_000, 700, 500);
   private static final int FLEET = 102;
   private static final int DOMAINS = 5;
   private static final long SETTLE_MILLIS = 5_000;
 
+  /** The time after which a change must be in force at each node that is not disturbed. */
+  private static final long CHANGE_BOUND_MILLIS = 1_900;
+
   /** A key is accepted while the last confirmation is younger than this. */
   private static final long KEY_BOUND_MILLIS = 4_600;
 
@@ -124,6 +127,22 @@
     assertThat(fleet.store().calls() - before).isLessThan(3L * FLEET);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void changeReachesOtherNodesWithinTwoSecondsWhenAllReadersFail(long seed) {
+    FeedSimulation fleet = settledFleet(FLEET, OPERATORS, seed);
+    fleet.run(seed * 170);
+    Vector<Integer> readers = fleet.readers();
+    switch ((int) (seed % 3)) {
+      case 0 -> fleet.cutFromStore(readers);
+      case 1 -> fleet.freeze(readers, 10_000);
+      default -> fleet.kill(readers);
+    }
+    fleet.put("config", "key withdrawn");
+    fleet.run(CHANGE_BOUND_MILLIS);
+    assertThat(fleet.maxVersionLagWithout(readers)).isZero();
+  }
+
   @Test
   void frozenReadersAreReplacedAndTheirOldNewsIsNotBelieved() {
     FeedSimulation fleet = settledFleet(FLEET, OPERATORS, 7);
--- a/policy/src/test/java/org/clementinepost/policy/feed/FeedSimulation.java
+++ b/policy/src/test/java/org/clementinepost/policy/feed/FeedSimulation.java
@@ -210,6 +210,12 @@
   /** Answers once there is a change, or when the wait is over. */
   private void pollStore(
       int node, FeedEffect.ReadStore read, long sentMillis, long deadlineMillis) {
+    if (cutFromStore.contains(node)) {
+      Failure lost = Failure.of(ResultCode.PLATFORM_UNAVAILABLE);
+      scheduleOn(
+          node, STORE_TIMEOUT_MILLIS, () -> onStoreRead(node, read, sentMillis, Either.left(lost)));
+      return;
+    }
     boolean ready = read.version().forAll(store::hasChangesSince) || nowMillis >= deadlineMillis;
     if (!ready) {
       schedule(
@@ -334,7 +340,13 @@
   }
 
   long maxVersionLag() {
+    return maxVersionLagWithout(Vector.empty());
+  }
+
+  /** The greatest lag behind the store at a living node that is not one of the given. */
+  long maxVersionLagWithout(Vector<Integer> ignored) {
     return living()
+        .removeAll(ignored.map(nodes::get))
         .map(node -> node.state.copy().map(copy -> store.version() - copy.version()).getOrElse(0L))
         .max()
         .getOrElse(0L);
