Answer a feed of the store's stand-in as of one moment

Cause, by reading: the stand-in decided whether there were changes and then read its rows once more.

Change: one reading decides and answers; a poll whose history is dropped meanwhile gets 410.

Result: RowStoreStandInTest, RowStoreNodeTest, OddEntryTest and RelayedFeedTest pass.

--- a/testing/src/main/java/org/clementinepost/testing/rows/RowStoreStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/rows/RowStoreStandIn.java
@@ -196,21 +196,25 @@
     String table = parameter(query, "table", "");
     long after = Long.parseLong(parameter(query, "after", "0"));
     long waitMillis = Long.parseLong(parameter(query, "waitMs", "0"));
-    if (after < storedRows.get().lastDroppedVersion()) {
-      return Mono.just(new Response(GONE_STATUS, "{}"));
-    }
     return newVersions
         .asFlux()
         .startWith(0L)
-        .filter(changed -> !storedRows.get().changesAfter(table, after).isEmpty())
+        .map(changed -> storedRows.get())
+        .filter(rows -> isHistoryLost(rows, after) || !rows.changesAfter(table, after).isEmpty())
         .next()
-        .map(changed -> feedPage(table, after))
-        .timeout(Duration.ofMillis(waitMillis), Mono.fromSupplier(() -> feedPage(table, after)));
+        .timeout(Duration.ofMillis(waitMillis), Mono.fromSupplier(storedRows::get))
+        .map(rows -> feedPage(rows, table, after));
   }
 
-  private Response feedPage(String table, long after) {
-    StoredRows current = storedRows.get();
-    return new Response(OK_STATUS, toJson(current.changesAfter(table, after), current.version()));
+  private static boolean isHistoryLost(StoredRows rows, long after) {
+    return after < rows.lastDroppedVersion();
+  }
+
+  /** Returns the changes as of one moment, so that a page never has a version without its rows. */
+  private static Response feedPage(StoredRows rows, String table, long after) {
+    return isHistoryLost(rows, after)
+        ? new Response(GONE_STATUS, "{}")
+        : new Response(OK_STATUS, toJson(rows.changesAfter(table, after), rows.version()));
   }
 
   private static String toJson(Vector<StoredRow> rows, long version) {
