--- a/review/standins/CallerServiceCase.java
+++ b/review/standins/CallerServiceCase.java
@@ -1,5 +1,4 @@
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
--- a/review/standins/QuotaLeaderCase.java
+++ b/review/standins/QuotaLeaderCase.java
@@ -1,6 +1,5 @@
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
