--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -19,7 +19,7 @@
  * cold for some time after its start; it then crashes at three times the rate that it bears.
  */
 final class Backend {
-  private static final int HEARTBEAT_MILLIS = 1_500;
+  static final int HEARTBEAT_MILLIS = 1_500;
   private static final int QUEUE = 48;
 
   /** Called when the backend begins to work on a request. */
@@ -41,6 +41,7 @@
   private final long bornMillis = System.currentTimeMillis();
   private final ServerSocket server;
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+  private final int firstHeartbeatMillis;
   private final int coldMillis;
   private final int coldPerSecond;
   private final java.util.ArrayDeque<Long> recentNanos = new java.util.ArrayDeque<>();
@@ -60,7 +61,7 @@
       String controlAddress,
       Listener listener)
       throws IOException {
-    this(id, service, port, zone, slots, workMillis, controlAddress, listener, 0, 0);
+    this(id, service, port, zone, slots, workMillis, controlAddress, listener, 0, 0, 0);
   }
 
   Backend(
@@ -73,8 +74,10 @@
       String controlAddress,
       Listener listener,
       int coldMillis,
-      int coldPerSecond)
+      int coldPerSecond,
+      int firstHeartbeatMillis)
       throws IOException {
+    this.firstHeartbeatMillis = firstHeartbeatMillis;
     this.coldMillis = coldMillis;
     this.coldPerSecond = coldPerSecond;
     this.id = id;
@@ -109,6 +112,11 @@
   }
 
   private void sendHeartbeats() {
+    try {
+      Thread.sleep(firstHeartbeatMillis);
+    } catch (InterruptedException e) {
+      return;
+    }
     while (!stopped) {
       try {
         HttpCall call =
--- a/review/standins/ColdHostCase.java
+++ b/review/standins/ColdHostCase.java
@@ -160,7 +160,8 @@
         machine.control,
         listener,
         coldMillis,
-        COLD_PER_SECOND);
+        COLD_PER_SECOND,
+        0);
   }
 
   private static void sleepUntil(long nanos) {
