--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -85,7 +85,7 @@
 
     void signal(String signal) throws IOException, InterruptedException {
       record.line("signal %s to node %s pid=%d", signal, name, process.pid());
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+      new ProcessBuilder("bash", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
     }
 
     boolean isReady() {
