--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -1,10 +1,13 @@
 import java.nio.file.Path;
 
-/** Runs one case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+/**
+ * Runs one case. The exit codes differ from those of a JVM that fails; run.sh turns them into 1 if the
+ * rule was broken, 0 if it held, and 2 if the case could not run.
+ */
 final class Case {
-  static final int HELD = 0;
-  static final int BROKEN = 1;
-  static final int NOT_RUN = 2;
+  static final int HELD = 40;
+  static final int BROKEN = 41;
+  static final int NOT_RUN = 42;
 
   /** The body of a case; returns whether the rule was broken. */
   interface Body {
