Report a task that processes no more messages, and end its process

The log showed a StackOverflowError and nothing about which part had stopped; an idle task could not be told from one that no longer runs.

Change: the kernel counts the messages that each service has processed. The health service checks once a second which services have messages waiting and have processed none since (StallPolicy): after 3 checks the node says that it is not ready and names them (log, /status, gauge), after 10 the process ends with exit code 91, so that the platform starts it again.

--- a/api/src/main/java/org/clementinepost/api/ResultCode.java
+++ b/api/src/main/java/org/clementinepost/api/ResultCode.java
@@ -89,7 +89,8 @@
   PORT_UNAVAILABLE(8006, 500, 80, RunState.NOT_RUN, "A port cannot be listened on"),
   ANNOUNCEMENT_INVALID(
       8101, 400, 82, RunState.NOT_RUN, "A backend server's announcement is invalid"),
-  INTERNAL(9001, 500, 90, RunState.UNKNOWN, "A fault in the node itself");
+  INTERNAL(9001, 500, 90, RunState.UNKNOWN, "A fault in the node itself"),
+  TASK_STALLED(9002, 500, 91, RunState.UNKNOWN, "A part of the node processes no messages");
 
   private final int number;
   private final int httpStatus;
--- a/kernel/src/main/java/org/clementinepost/kernel/Kernel.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Kernel.java
@@ -33,6 +33,11 @@
         .getOrElse(() -> message -> Delivery.STOPPED);
   }
 
+  @Override
+  public Vector<TaskProgress> progress() {
+    return mailboxes.values().map(mailbox -> mailbox.progress()).toVector();
+  }
+
   @SuppressWarnings("unchecked") // A service name is registered once, with its message type.
   private static <M> Address<M> castAddress(Mailbox<?> mailbox) {
     return (Address<M>) mailbox;
--- a/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
 
@@ -27,6 +28,7 @@
   private final Scheduler.Worker worker;
   private final Queue<M> queue = new ConcurrentLinkedQueue<>();
   private final AtomicInteger pending = new AtomicInteger();
+  private final AtomicLong processedMessages = new AtomicLong();
   private volatile Behaviour<M> behaviour;
   private volatile boolean stopped;
 
@@ -78,6 +80,7 @@
         return;
       }
       receive(message);
+      processedMessages.incrementAndGet();
       if (pending.decrementAndGet() == 0) {
         return;
       }
@@ -99,6 +102,10 @@
     }
   }
 
+  TaskProgress progress() {
+    return new TaskProgress(name, processedMessages.get(), !queue.isEmpty());
+  }
+
   @Override
   public boolean isDisposed() {
     return stopped;
--- a/kernel/src/main/java/org/clementinepost/kernel/Registry.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Registry.java
@@ -1,7 +1,8 @@
 package org.clementinepost.kernel;
 
+import io.vavr.collection.Vector;
+
 /** Finds kernel services by name. */
-@FunctionalInterface
 public interface Registry {
   /**
    * Returns the address of a service.
@@ -10,4 +11,7 @@
    * {@link Delivery#STOPPED}.
    */
   <M> Address<M> find(ServiceName<M> name);
+
+  /** Returns how far each service has come with its messages. */
+  Vector<TaskProgress> progress();
 }
--- a/node/src/main/java/org/clementinepost/node/Node.java
+++ b/node/src/main/java/org/clementinepost/node/Node.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.util.function.Function;
+import org.clementinepost.api.Failure;
 import org.clementinepost.api.Member;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.peer.DirectoryPeerMessage;
@@ -26,6 +27,8 @@
 import org.clementinepost.node.exchange.ExchangeService;
 import org.clementinepost.node.feed.FeedService;
 import org.clementinepost.node.feed.FeedServiceMessage;
+import org.clementinepost.node.health.HealthMessage;
+import org.clementinepost.node.health.HealthService;
 import org.clementinepost.node.host.HostService;
 import org.clementinepost.node.membership.MembershipMessage;
 import org.clementinepost.node.membership.MembershipService;
@@ -94,6 +97,7 @@
                 self, settings.operator(), platformAdapter.dialect().readinessPath()))
         .service(EdgeService.definition(self, settings, platformAdapter.dialect()))
         .service(StopService.definition(settings))
+        .service(HealthService.definition())
         .start();
   }
 
@@ -164,6 +168,11 @@
     return Mono.create(sink -> address.send(message.apply(sink::success)));
   }
 
+  /** Returns the failure after which the process should end; empty for as long as there is none. */
+  public Mono<Failure> failure() {
+    return ask(kernel.find(HealthService.NAME), HealthMessage.AwaitFailure::new);
+  }
+
   /** Applies the one setting that can change while the node runs: {@code localService}. */
   void reload(NodeSettings settings) {
     kernel.find(EdgeService.NAME).send(new EdgeMessage.SettingsReloaded(settings));
--- a/node/src/main/java/org/clementinepost/node/NodeMain.java
+++ b/node/src/main/java/org/clementinepost/node/NodeMain.java
@@ -16,7 +16,6 @@
 import org.clementinepost.platform.StoreClient;
 import org.clementinepost.storage.PlatformService;
 import org.clementinepost.storage.config.source.Finding;
-import reactor.core.publisher.Mono;
 import reactor.netty.ChannelBindException;
 import sun.misc.Signal;
 
@@ -143,8 +142,7 @@
           "event=node-started node=%s incarnation=%d",
           node.self().node(), node.self().incarnation());
       out.println("listening " + ports.toJson());
-      Mono.never().block();
-      return ResultCode.OK.exitCode();
+      return printFailure(node.failure().block());
     } catch (Exception e) {
       return printFailure(Failure.of(startFailureCode(e), String.valueOf(e.getMessage())));
     }
--- a/node/src/main/java/org/clementinepost/node/operator/OperatorMessage.java
+++ b/node/src/main/java/org/clementinepost/node/operator/OperatorMessage.java
@@ -16,6 +16,13 @@
   /** This node has begun to stop. */
   record Stopping() implements OperatorMessage {}
 
+  /**
+   * The set of tasks that process no messages has changed.
+   *
+   * @param tasks the names of all stalled tasks
+   */
+  record StalledTasksChanged(Vector<String> tasks) implements OperatorMessage {}
+
   /** Requests the node's status. */
   record GetStatus(Reply<NodeStatus> reply) implements OperatorMessage {}
 
--- a/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
+++ b/node/src/main/java/org/clementinepost/node/operator/OperatorService.java
@@ -48,7 +48,7 @@
     this.readinessPath = readinessPath;
     this.context = context;
     this.metrics = context.registry().find(MetricsService.NAME);
-    this.status = new NodeStatus(self, 0, 0, false);
+    this.status = NodeStatus.atStart(self);
     this.server =
         HttpServer.create().host(address.host()).port(address.port()).route(this::route).bindNow();
     ConfigurationService.subscribe(context, OperatorMessage.Configured::new);
@@ -130,20 +130,22 @@
   public void receive(OperatorMessage message) {
     if (message instanceof OperatorMessage.Configured configured) {
       long version = configured.snapshot().version();
-      status = new NodeStatus(status.self(), version, status.otherNodes(), status.stopping());
+      status = status.withConfigurationVersion(version);
       metrics.send(new MetricsMessage.SetGauge("configuration.version", version));
       return;
     }
     if (message instanceof OperatorMessage.MembersChanged members) {
       int others = members.others().size();
-      status =
-          new NodeStatus(status.self(), status.configurationVersion(), others, status.stopping());
+      status = status.withOtherNodes(others);
       metrics.send(new MetricsMessage.SetGauge("membership.other-nodes", others));
       return;
     }
     if (message instanceof OperatorMessage.Stopping) {
-      status =
-          new NodeStatus(status.self(), status.configurationVersion(), status.otherNodes(), true);
+      status = status.asStopping();
+      return;
+    }
+    if (message instanceof OperatorMessage.StalledTasksChanged stalled) {
+      status = status.withStalledTasks(stalled.tasks());
       return;
     }
     if (message instanceof OperatorMessage.GetStatus request) {
--- /dev/null
+++ b/policy/src/main/java/org/clementinepost/policy/health/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which tasks of a node have stopped processing messages. */
+package org.clementinepost.policy.health;
