Keep a task running when a sender fails in the middle of a send

What callers saw: after one StackOverflowError on a node, no request to it got an answer, on any connection, until the process ended.

Cause: a sender increments the mailbox's counter from zero and then schedules a run. If the scheduling fails, the counter stays at one, no later sender schedules a run, and the task is never run again. The same holds for a run that breaks off: an error whose message can't be logged escapes from the run, and so does a failure to schedule the next one.

Excluded: an error in a behaviour (caught and logged, as a test showed before), and an error between the addition to the queue and the increment (leaves the task one message behind, not stopped).

Change: whether a run is scheduled is a flag of its own. It is reset by a plain assignment, which needs no stack and no memory, wherever a send or a run breaks off; the next send schedules a run for all that is queued. An error whose message can't be formatted is logged with the message's class.

Tests that failed before: continuesAfterSenderFailedToScheduleRun, continuesAfterStackOverflowsAnywhereInSend (200 overflows at different depths; failed at the first), continuesAfterErrorInLoggingOfError.

Limit: an error in the middle of a call of the event loop's own queue can't be undone here.

--- a/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/Mailbox.java
@@ -1,10 +1,11 @@
 package org.clementinepost.kernel;
 
 import com.google.common.flogger.FluentLogger;
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.VarHandle;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
@@ -13,23 +14,27 @@
  * Queues a task's messages and processes them one at a time on a scheduler, without locks and
  * without a dedicated thread.
  *
- * <p>{@code pending} counts the messages that are queued or being processed. Senders add a message
- * to the queue before they increment the counter, so a run always finds at least as many messages
- * as are counted. The sender that increments the counter from zero schedules a run. A run processes
- * at most {@link #MESSAGES_PER_RUN} messages and schedules another run if messages remain, so that
- * a busy task cannot keep a thread from other tasks.
+ * <p>{@code scheduled} tells whether a run is scheduled or in progress; the sender that sets it
+ * schedules a run. A run processes at most {@link #MESSAGES_PER_RUN} messages and schedules another
+ * run if messages remain, so that a busy task cannot keep a thread from other tasks.
+ *
+ * <p>Senders may be about to run out of stack or memory, and then any call can fail. Wherever a
+ * send or a run breaks off, {@code scheduled} is reset by a plain assignment, which can't fail, and
+ * the next send schedules a run that processes all messages of the queue.
  */
 final class Mailbox<M> implements Address<M>, Disposable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MESSAGES_PER_RUN = 256;
+  private static final VarHandle SCHEDULED = findScheduledField();
 
   private final String name;
   private final int capacity;
   private final Scheduler.Worker worker;
   private final Queue<M> queue = new ConcurrentLinkedQueue<>();
-  private final AtomicInteger pending = new AtomicInteger();
+  private final AtomicLong sentMessages = new AtomicLong();
   private final AtomicLong processedMessages = new AtomicLong();
   private volatile Behaviour<M> behaviour;
+  private volatile boolean scheduled;
   private volatile boolean stopped;
 
   Mailbox(String name, int capacity, Scheduler scheduler) {
@@ -38,12 +43,18 @@
     this.worker = scheduler.createWorker();
   }
 
+  private static VarHandle findScheduledField() {
+    try {
+      return MethodHandles.lookup().findVarHandle(Mailbox.class, "scheduled", boolean.class);
+    } catch (ReflectiveOperationException e) {
+      throw new LinkageError("the mailbox has no field that tells whether it is scheduled", e);
+    }
+  }
+
   /** Starts the task, which first processes the messages that were sent before its start. */
   void start(Behaviour<M> initial) {
     behaviour = initial;
-    if (pending.get() > 0) {
-      schedule(this::run);
-    }
+    scheduleRunIfNeeded();
   }
 
   @Override
@@ -51,54 +62,83 @@
     if (stopped) {
       return Delivery.STOPPED;
     }
-    if (pending.get() >= capacity) {
+    if (sentMessages.get() - processedMessages.get() >= capacity) {
       return Delivery.FULL;
     }
     queue.add(message);
     if (stopped && queue.remove(message)) {
       return Delivery.STOPPED;
     }
-    if (pending.getAndIncrement() == 0 && behaviour != null) {
+    sentMessages.incrementAndGet();
+    scheduleRunIfNeeded();
+    return Delivery.ACCEPTED;
+  }
+
+  private void scheduleRunIfNeeded() {
+    if (behaviour == null || queue.isEmpty() || scheduled) {
+      return;
+    }
+    if (SCHEDULED.compareAndSet(this, false, true)) {
+      scheduleRun();
+    }
+  }
+
+  private void scheduleRun() {
+    boolean accepted = false;
+    try {
       schedule(this::run);
+      accepted = true;
+    } finally {
+      if (!accepted) {
+        scheduled = false;
+      }
     }
-    return Delivery.ACCEPTED;
   }
 
-  /** Schedules a run; if the worker is already disposed, there is nothing left to process. */
-  private void schedule(Runnable run) {
+  /** Schedules a step; if the worker is already disposed, there is nothing left to process. */
+  private void schedule(Runnable step) {
     try {
-      worker.schedule(run);
+      worker.schedule(step);
     } catch (RejectedExecutionException e) {
       logger.atFine().log("event=task-gone task=%s", name);
     }
   }
 
   private void run() {
-    for (int processed = 1; processed <= MESSAGES_PER_RUN; processed++) {
+    try {
+      processMessages();
+    } finally {
+      scheduled = false;
+      scheduleRunIfNeeded();
+    }
+  }
+
+  private void processMessages() {
+    for (int processed = 0; processed < MESSAGES_PER_RUN; processed++) {
       M message = queue.poll();
       if (message == null) {
         return;
       }
       receive(message);
       processedMessages.incrementAndGet();
-      if (pending.decrementAndGet() == 0) {
-        return;
-      }
     }
-    schedule(this::run);
   }
 
-  /**
-   * Processes a message and logs any error.
-   *
-   * <p>If an error escaped, the counter would not be decremented and no sender would schedule
-   * another run, so the task would process no more messages.
-   */
+  /** Processes a message and logs any error. */
   private void receive(M message) {
     try {
       behaviour.receive(message);
     } catch (RuntimeException | Error e) {
-      logger.atSevere().withCause(e).log("event=task-failed task=%s message=%s", name, message);
+      logError(message, e);
+    }
+  }
+
+  private void logError(M message, Throwable error) {
+    try {
+      logger.atSevere().withCause(error).log("event=task-failed task=%s message=%s", name, message);
+    } catch (RuntimeException | Error e) {
+      logger.atSevere().log(
+          "event=task-failed task=%s message=%s", name, message.getClass().getName());
     }
   }
 
