Guard each connection to a backend server once, not at each use

Cause: ResponseGuard was attached with doOnConnected, which the HTTP library calls at each use of a pooled connection. Each use added a pair of handlers, each write passed through all of them, and a stack of 256 KiB overflowed.

Change: it is attached with doOnChannelInit, which runs once for each connection. Related paths, by reading: the connections between nodes are not pooled and get their framing once; callers' connections use doOnChannelInit already; the store's clients add no handlers; RefusedRequests is bounded.

--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -74,7 +74,7 @@
         HttpClient.create(connections)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.TCP_NODELAY, true)
-            .doOnConnected(ResponseGuard::attach)
+            .doOnChannelInit((observer, channel, remote) -> ResponseGuard.attach(channel))
             .disableRetry(true)
             .followRedirect(false)
             .compress(false);
--- a/node/src/main/java/org/clementinepost/node/exchange/ResponseGuard.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ResponseGuard.java
@@ -1,6 +1,7 @@
 package org.clementinepost.node.exchange;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -14,7 +15,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import reactor.netty.Connection;
 import reactor.netty.NettyPipeline;
 
 /**
@@ -34,10 +34,11 @@
 
   private ResponseGuard() {}
 
-  static void attach(Connection connection) {
+  /** Adds the guard to a new connection. */
+  static void attach(Channel channel) {
     ResponseGuard guard = new ResponseGuard();
-    connection.channel().pipeline().addBefore(NettyPipeline.HttpCodec, null, guard.inboundBytes);
-    connection.channel().pipeline().addAfter(NettyPipeline.HttpCodec, null, guard);
+    channel.pipeline().addBefore(NettyPipeline.HttpCodec, "inbound-bytes", guard.inboundBytes);
+    channel.pipeline().addAfter(NettyPipeline.HttpCodec, "response-guard", guard);
   }
 
   @Override
