Apply the newer of two configurations to a token request

What callers saw: none was refused, and that was the fault.

Cause: the leader answered by its own configuration alone, and treated a customer that it did not have like one without a limit. The same holds for a limit that was added, lowered or raised since, and for a leader without a configuration. Excluded: two leaders at once (one holds the lease all the while), the emergency allowances (the leader answers within 1 ms), a bucket that starts too full (30 tokens in 5 s).

Change: a token request carries the customer as the requester's configuration has it, and its version. The leader keeps what it learns from newer versions (KnownCustomers) and applies the newest for every requester, until its own configuration is as new. A customer that the newer configuration has removed keeps the limit that the requester knows, in place of none.

The encoding of message 70 has changed. A node of an earlier version closes the connection on it, as on any message that it doesn't know.

--- a/api/src/main/java/org/clementinepost/api/peer/QuotaPeerMessage.java
+++ b/api/src/main/java/org/clementinepost/api/peer/QuotaPeerMessage.java
@@ -1,6 +1,6 @@
 package org.clementinepost.api.peer;
 
-import org.clementinepost.api.CustomerId;
+import org.clementinepost.api.config.Customer;
 
 /** A message between a node and the quota leader. */
 public sealed interface QuotaPeerMessage extends PeerMessage {
@@ -8,9 +8,11 @@
    * Requests a token from the leader.
    *
    * @param requestNumber identifies the request among those of its sender
-   * @param customer the customer whose token is requested
+   * @param customer the customer whose token is requested, as the requester's configuration has it
+   * @param configurationVersion the version of that configuration; the leader's own may be older
    */
-  record TokenRequest(long requestNumber, CustomerId customer) implements QuotaPeerMessage {}
+  record TokenRequest(long requestNumber, Customer customer, long configurationVersion)
+      implements QuotaPeerMessage {}
 
   /**
    * Responds to a token request.
--- a/node/src/main/java/org/clementinepost/node/quota/PendingRequest.java
+++ b/node/src/main/java/org/clementinepost/node/quota/PendingRequest.java
@@ -3,12 +3,15 @@
 import io.vavr.control.Either;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.config.Customer;
 import org.clementinepost.kernel.Reply;
 
 /**
  * A customer's request that waits for a token from the quota leader.
  *
  * @param head the head of the request
+ * @param customer the customer, as the configuration had it when the request came
+ * @param configurationVersion the version of that configuration
  * @param reply receives the request's head when it is admitted, or the reason why it is refused
  * @param startedNanos when the wait began
  * @param sentToLeader whether a token request for it has been sent to a leader
@@ -16,19 +19,24 @@
  */
 record PendingRequest(
     RequestHead head,
+    Customer customer,
+    long configurationVersion,
     Reply<Either<Failure, RequestHead>> reply,
     long startedNanos,
     boolean sentToLeader,
     boolean overdue) {
   PendingRequest asSentToLeader() {
-    return new PendingRequest(head, reply, startedNanos, true, overdue);
+    return new PendingRequest(
+        head, customer, configurationVersion, reply, startedNanos, true, overdue);
   }
 
   PendingRequest asNotSentToLeader() {
-    return new PendingRequest(head, reply, startedNanos, false, overdue);
+    return new PendingRequest(
+        head, customer, configurationVersion, reply, startedNanos, false, overdue);
   }
 
   PendingRequest asOverdue() {
-    return new PendingRequest(head, reply, startedNanos, sentToLeader, true);
+    return new PendingRequest(
+        head, customer, configurationVersion, reply, startedNanos, sentToLeader, true);
   }
 }
--- a/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
+++ b/node/src/main/java/org/clementinepost/node/quota/QuotaService.java
@@ -1,7 +1,6 @@
 package org.clementinepost.node.quota;
 
 import com.google.common.flogger.FluentLogger;
-import io.vavr.Tuple;
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
 import io.vavr.control.Either;
@@ -163,7 +162,14 @@
     }
     long requestNumber = ++lastRequestNumber;
     PendingRequest pending =
-        new PendingRequest(take.head(), take.reply(), context.clock().nowNanos(), false, false);
+        new PendingRequest(
+            take.head(),
+            customer.get(),
+            snapshot.version(),
+            take.reply(),
+            context.clock().nowNanos(),
+            false,
+            false);
     pendingRequests = pendingRequests.put(requestNumber, pending);
     if (pendingRequests.size() == 1) {
       scheduleSweep();
@@ -205,7 +211,10 @@
   private void sendToLeader(long requestNumber, PendingRequest pending) {
     for (NodeId node : leaderElection.otherLeader()) {
       pendingRequests = pendingRequests.put(requestNumber, pending.asSentToLeader());
-      send(node, new QuotaPeerMessage.TokenRequest(requestNumber, pending.head().customer().get()));
+      send(
+          node,
+          new QuotaPeerMessage.TokenRequest(
+              requestNumber, pending.customer(), pending.configurationVersion()));
     }
   }
 
@@ -282,15 +291,13 @@
 
   private void onOverdue(long requestNumber, PendingRequest pending, long nowNanos) {
     onLeaderLeaseEvent(new LeaderLeaseEvent.LeaderUnavailable(nowNanos));
-    Option<Customer> customer = limitedCustomer(pending.head());
     Option<QuotaBuckets> bucketsAfter =
-        customer.flatMap(
-            known -> allowance.take(emergencyBuckets, known, self.node(), nodeCount, nowNanos));
-    if (customer.isDefined() && bucketsAfter.isEmpty()) {
+        allowance.take(emergencyBuckets, pending.customer(), self.node(), nodeCount, nowNanos);
+    if (bucketsAfter.isEmpty()) {
       pendingRequests = pendingRequests.put(requestNumber, pending.asOverdue());
       return;
     }
-    bucketsAfter.forEach(next -> emergencyBuckets = next);
+    emergencyBuckets = bucketsAfter.get();
     pendingRequests = pendingRequests.remove(requestNumber);
     logger.atInfo().log(
         "event=quota-emergency request=%s customer=%s",
@@ -321,17 +328,6 @@
     pendingRequests = LinkedHashMap.empty();
     waitingRequests
         .values()
-        .map(pending -> Tuple.of(pending, limitedCustomer(pending.head())))
-        .forEach(
-            entry ->
-                entry._2.fold(
-                    () -> {
-                      entry._1.reply().send(Either.right(entry._1.head()));
-                      return null;
-                    },
-                    known -> {
-                      takeTokenAsLeader(known, entry._1.head(), entry._1.reply());
-                      return null;
-                    }));
+        .forEach(pending -> takeTokenAsLeader(pending.customer(), pending.head(), pending.reply()));
   }
 }
--- a/node/src/main/java/org/clementinepost/node/quota/TokenIssuer.java
+++ b/node/src/main/java/org/clementinepost/node/quota/TokenIssuer.java
@@ -8,6 +8,7 @@
 import org.clementinepost.api.config.Snapshot;
 import org.clementinepost.api.peer.QuotaPeerMessage;
 import org.clementinepost.kernel.MonotonicClock;
+import org.clementinepost.policy.quota.KnownCustomers;
 import org.clementinepost.policy.quota.QuotaBuckets;
 import org.clementinepost.policy.quota.ReturnSchedule;
 
@@ -28,7 +29,7 @@
   private final LeaderElection leaderElection;
   private final MonotonicClock clock;
   private final BiConsumer<NodeId, QuotaPeerMessage> sender;
-  private Snapshot snapshot = Snapshot.empty();
+  private KnownCustomers customers = KnownCustomers.none();
   private QuotaBuckets buckets;
   private ReturnSchedule returnSchedule = ReturnSchedule.EMPTY;
   private Vector<DeferredRequest> deferredRequests = Vector.empty();
@@ -44,7 +45,7 @@
   }
 
   void onConfiguration(Snapshot newSnapshot) {
-    snapshot = newSnapshot;
+    customers = customers.withSnapshot(newSnapshot);
   }
 
   /**
@@ -59,15 +60,20 @@
   /** Gives a refused request of a customer a time to come back, in milliseconds from now. */
   long returnWaitMillis(Customer customer) {
     long nowNanos = clock.nowNanos();
+    Customer newest = customers.newest(customer);
     ReturnSchedule.Slot slot =
-        returnSchedule.next(customer, buckets.waitMillis(customer, nowNanos), nowNanos);
+        returnSchedule.next(newest, buckets.waitMillis(newest, nowNanos), nowNanos);
     returnSchedule = slot.schedule();
     return slot.waitMillis();
   }
 
-  /** Takes a token of a customer; returns whether there was one. */
+  /** Takes a token of a customer; returns whether there was one, or none is needed. */
   boolean takeToken(Customer customer) {
-    Option<QuotaBuckets> bucketsAfter = buckets.take(customer, clock.nowNanos());
+    Customer newest = customers.newest(customer);
+    if (!newest.isRateLimited()) {
+      return true;
+    }
+    Option<QuotaBuckets> bucketsAfter = buckets.take(newest, clock.nowNanos());
     bucketsAfter.forEach(next -> buckets = next);
     return bucketsAfter.isDefined();
   }
@@ -101,12 +107,11 @@
     if (!leaderElection.isLeader()) {
       return new QuotaPeerMessage.TokenResponse(request.requestNumber(), false, false, 0);
     }
-    Option<Customer> customer =
-        snapshot.customers().get(request.customer()).filter(Customer::isRateLimited);
-    if (customer.isEmpty() || takeToken(customer.get())) {
+    customers = customers.learn(request.customer(), request.configurationVersion());
+    if (takeToken(request.customer())) {
       return new QuotaPeerMessage.TokenResponse(request.requestNumber(), true, true, 0);
     }
     return new QuotaPeerMessage.TokenResponse(
-        request.requestNumber(), true, false, returnWaitMillis(customer.get()));
+        request.requestNumber(), true, false, returnWaitMillis(request.customer()));
   }
 }
--- a/wire/src/test/java/org/clementinepost/wire/PeerCodecTest.java
+++ b/wire/src/test/java/org/clementinepost/wire/PeerCodecTest.java
@@ -23,11 +23,13 @@
 import org.clementinepost.api.ResponseHead;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.ServiceId;
+import org.clementinepost.api.config.Customer;
 import org.clementinepost.api.peer.FeedPage;
 import org.clementinepost.api.peer.FeedPeerMessage;
 import org.clementinepost.api.peer.FeedRow;
 import org.clementinepost.api.peer.LinkMessage;
 import org.clementinepost.api.peer.PeerMessage;
+import org.clementinepost.api.peer.QuotaPeerMessage;
 import org.clementinepost.api.peer.StreamMessage;
 import org.junit.jupiter.api.Test;
 
@@ -55,6 +57,14 @@
     assertThat(CODEC.decode(CODEC.encode(message))).isEqualTo(Either.right(message));
   }
 
+  @Test
+  void roundTripsTokenRequest() {
+    CustomerId id = new CustomerId("c");
+    assertRoundTrip(new QuotaPeerMessage.TokenRequest(1, new Customer(id, 0.5, 3, 2), 9));
+    assertRoundTrip(
+        new QuotaPeerMessage.TokenRequest(2, new Customer(id, 5, 0, 1, Option.some(4)), 10));
+  }
+
   @Test
   void roundTripsEveryStreamMessage() {
     BackendServerId server = new BackendServerId("b-1");
