Bound what bodies hold in memory, over all connections of a process

What callers saw: a faulty backend server sent bodies without end to 60 callers that read late. The node beside it ran out of memory; requests for other services got no answer, 503, 502 or a 200 that was cut short, and later requests 503 while the node said that it was ready.

Cause: each response may be buffered up to 1 MiB, and no bound held for all of them together. Beyond that, the HTTP library takes up to 128 chunks of a body ahead of a socket that its peer doesn't read, and 32 chunks of up to 64 KiB were read ahead for each of them.

Excluded: heads, trailers, interim responses and bytes after a response without end (UnboundedResponseTest has a bound for each); callers that read at once.

What gives way is buffering: when the budget is spent, a body is streamed beyond its first 64 KiB. A streamed body is passed on only while its connection can be written to, towards callers and backend servers; at most 4 chunks are read ahead, 8 between nodes, and at most 64 KiB are read from a backend server before its reader can stop it.

Test: EndlessResponseProcessTest, a node process with a heap of 96 MB.

Open: a node buffers up to 256 KiB of each response from another node, outside of the budget.

--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -26,6 +26,8 @@
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
 import org.clementinepost.node.exchange.BackendResponse;
+import org.clementinepost.node.exchange.BufferBudget;
+import org.clementinepost.node.exchange.WritabilityGate;
 import org.clementinepost.node.metrics.MetricsMessage;
 import org.clementinepost.node.metrics.MetricsService;
 import org.clementinepost.node.settings.NodeSettings;
@@ -82,11 +84,13 @@
             .httpRequestDecoder(spec -> spec.maxHeaderSize(limits.maxHeaderBytes()))
             .channelGroup(connections)
             .doOnChannelInit(
-                (observer, channel, remote) ->
-                    CallerConnection.attach(
-                        channel,
-                        () -> stoppedAccepting,
-                        () -> context.self().send(new EdgeMessage.CallerDisconnected())))
+                (observer, channel, remote) -> {
+                  WritabilityGate.attach(channel);
+                  CallerConnection.attach(
+                      channel,
+                      () -> stoppedAccepting,
+                      () -> context.self().send(new EdgeMessage.CallerDisconnected()));
+                })
             .handle(this::handle)
             .bindNow();
   }
@@ -122,11 +126,17 @@
         .flatMap(result -> writeResponse(id, request, response, result, startedNanos));
   }
 
-  /** Buffers a short body before the first attempt, so that the request can be retried. */
+  /**
+   * Buffers a short body before the first attempt, so that the request can be retried, unless the
+   * budget of the process is spent.
+   */
   private Mono<Either<Failure, BackendResponse>> run(
       HttpServerRequest request, IncomingRequest incoming, RequestBody body) {
+    long bytes = incoming.bodyBytes();
     boolean buffered =
-        incoming.bodyBytes() > 0 && incoming.bodyBytes() <= RequestBody.MAX_REPLAYABLE_BYTES;
+        bytes > 0
+            && bytes <= RequestBody.MAX_REPLAYABLE_BYTES
+            && BufferBudget.PROCESS.tryReserve(bytes);
     if (!buffered) {
       return pipeline.run(incoming, body);
     }
@@ -134,7 +144,8 @@
         .receive()
         .aggregate()
         .asByteArray()
-        .flatMap(bytes -> pipeline.run(incoming, RequestBody.replayable(Chunk.wrap(bytes))));
+        .flatMap(content -> pipeline.run(incoming, RequestBody.replayable(Chunk.wrap(content))))
+        .doFinally(signal -> BufferBudget.PROCESS.release(bytes));
   }
 
   private RequestId newRequestId() {
--- a/node/src/main/java/org/clementinepost/node/edge/ResponseWriter.java
+++ b/node/src/main/java/org/clementinepost/node/edge/ResponseWriter.java
@@ -11,6 +11,7 @@
 import org.clementinepost.api.RequestId;
 import org.clementinepost.api.http.HttpDialect;
 import org.clementinepost.node.exchange.BackendResponse;
+import org.clementinepost.node.exchange.WritabilityGate;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -89,7 +90,8 @@
     if (request.method().equals(HttpMethod.HEAD)) {
       return backendResponse.body().then(response.sendHeaders().then());
     }
-    return response.sendByteArray(backendResponse.body().map(Chunk::bytes));
+    return response.sendByteArray(
+        WritabilityGate.pace(backendResponse.body(), response).map(Chunk::bytes));
   }
 
   private static Publisher<Void> writeFailure(
--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -1,7 +1,9 @@
 package org.clementinepost.node.exchange;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -53,6 +55,11 @@
 
   private static final long NO_CONTENT_LENGTH = -1;
 
+  private static final int MIN_READ_BYTES = 64;
+  private static final int INITIAL_READ_BYTES = 2 << 10;
+  private static final int MAX_READ_BYTES = 16 << 10;
+  private static final int MAX_READS_PER_LOOP = 4;
+
   private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(4);
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
@@ -74,12 +81,23 @@
         HttpClient.create(connections)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.TCP_NODELAY, true)
-            .doOnChannelInit((observer, channel, remote) -> ResponseGuard.attach(channel))
+            .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
+            .doOnChannelInit(
+                (observer, channel, remote) -> {
+                  WritabilityGate.attach(channel);
+                  ResponseGuard.attach(channel);
+                })
             .disableRetry(true)
             .followRedirect(false)
             .compress(false);
   }
 
+  /** Bounds what is read from a connection before its reader can stop it. */
+  private static RecvByteBufAllocator receiveBuffers() {
+    return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+        .maxMessagesPerRead(MAX_READS_PER_LOOP);
+  }
+
   Mono<Either<Failure, BackendResponse>> send(
       Admission admission, RequestHead head, Flux<Chunk> body) {
     long deadlineMillis = scheduler.now(TimeUnit.MILLISECONDS) + head.timeoutMillis();
@@ -101,7 +119,9 @@
     if (head.bodyBytes() == RequestHead.NO_BODY) {
       return sender;
     }
-    return sender.send((request, outbound) -> outbound.sendByteArray(body.map(Chunk::bytes)));
+    return sender.send(
+        (request, outbound) ->
+            outbound.sendByteArray(WritabilityGate.pace(body, outbound).map(Chunk::bytes)));
   }
 
   private void setHeaders(HttpHeaders headers, Admission admission, RequestHead head) {
--- a/node/src/main/java/org/clementinepost/node/exchange/BodyBuffer.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BodyBuffer.java
@@ -1,6 +1,7 @@
 package org.clementinepost.node.exchange;
 
-import java.io.ByteArrayOutputStream;
+import io.vavr.collection.Vector;
+import java.util.concurrent.atomic.AtomicLong;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.ResultCode;
@@ -19,19 +20,26 @@
  */
 public final class BodyBuffer extends BaseSubscriber<Chunk> {
   /** Number of chunks of the remainder that are requested ahead of its reader. */
-  private static final int PREFETCH_CHUNKS = 32;
+  private static final int PREFETCH_CHUNKS = 4;
+
+  /** The beginning of a body that is buffered whether or not the budget is spent. */
+  private static final int UNBUDGETED_BYTES = 64 << 10;
 
   private final int maxBufferedBytes;
   private final long maxTotalBytes;
+  private final BufferBudget budget;
   private final MonoSink<BufferedBody> sink;
-  private final ByteArrayOutputStream prefix = new ByteArrayOutputStream();
+  private Vector<Chunk> prefix = Vector.empty();
   private final Sinks.Many<Chunk> remainder = Sinks.many().unicast().onBackpressureBuffer();
+  private final AtomicLong reservedBytes = new AtomicLong();
   private boolean streaming;
   private long totalBytes;
 
-  private BodyBuffer(int maxBufferedBytes, long maxTotalBytes, MonoSink<BufferedBody> sink) {
+  private BodyBuffer(
+      int maxBufferedBytes, long maxTotalBytes, BufferBudget budget, MonoSink<BufferedBody> sink) {
     this.maxBufferedBytes = maxBufferedBytes;
     this.maxTotalBytes = maxTotalBytes;
+    this.budget = budget;
     this.sink = sink;
   }
 
@@ -44,7 +52,7 @@
   public record BufferedBody(boolean complete, Flux<Chunk> body) {}
 
   /**
-   * Reads a body; fails if the body fails before the limit is reached.
+   * Reads a body within the budget of the process; fails if the body fails before it is streamed.
    *
    * @param maxBufferedBytes the limit of the buffer, which the last chunk may exceed
    * @param maxTotalBytes the maximum length of the body; a longer one is assumed to be endless and
@@ -52,9 +60,14 @@
    */
   public static Mono<BufferedBody> read(
       Flux<Chunk> body, int maxBufferedBytes, long maxTotalBytes) {
+    return read(body, maxBufferedBytes, maxTotalBytes, BufferBudget.PROCESS);
+  }
+
+  static Mono<BufferedBody> read(
+      Flux<Chunk> body, int maxBufferedBytes, long maxTotalBytes, BufferBudget budget) {
     return Mono.create(
         sink -> {
-          BodyBuffer buffer = new BodyBuffer(maxBufferedBytes, maxTotalBytes, sink);
+          BodyBuffer buffer = new BodyBuffer(maxBufferedBytes, maxTotalBytes, budget, sink);
           sink.onCancel(buffer);
           body.subscribe(buffer);
         });
@@ -72,8 +85,8 @@
       forward(chunk);
       return;
     }
-    prefix.writeBytes(chunk.bytes());
-    if (prefix.size() <= maxBufferedBytes) {
+    prefix = prefix.append(chunk);
+    if (totalBytes <= maxBufferedBytes && reserve(chunk)) {
       request(1);
       return;
     }
@@ -84,7 +97,26 @@
             .doOnRequest(this::request)
             .doOnCancel(this::cancel)
             .limitRate(PREFETCH_CHUNKS);
-    sink.success(new BufferedBody(false, Flux.concat(Flux.just(takePrefix()), streamed)));
+    sink.success(new BufferedBody(false, releaseAtEnd(Flux.concat(takePrefix(), streamed))));
+  }
+
+  private boolean reserve(Chunk chunk) {
+    if (totalBytes <= UNBUDGETED_BYTES) {
+      return true;
+    }
+    if (!budget.tryReserve(chunk.length())) {
+      return false;
+    }
+    reservedBytes.addAndGet(chunk.length());
+    return true;
+  }
+
+  private void release() {
+    budget.release(reservedBytes.getAndSet(0));
+  }
+
+  private Flux<Chunk> releaseAtEnd(Flux<Chunk> body) {
+    return reservedBytes.get() == 0 ? body : body.doFinally(signal -> release());
   }
 
   /**
@@ -105,10 +137,10 @@
     cancel();
   }
 
-  private Chunk takePrefix() {
-    Chunk chunk = Chunk.wrap(prefix.toByteArray());
-    prefix.reset();
-    return chunk;
+  private Flux<Chunk> takePrefix() {
+    Flux<Chunk> taken = Flux.fromIterable(prefix);
+    prefix = Vector.empty();
+    return taken;
   }
 
   @Override
@@ -117,8 +149,7 @@
       remainder.tryEmitComplete();
       return;
     }
-    sink.success(
-        new BufferedBody(true, prefix.size() == 0 ? Flux.empty() : Flux.just(takePrefix())));
+    sink.success(new BufferedBody(true, releaseAtEnd(takePrefix())));
   }
 
   @Override
@@ -127,6 +158,14 @@
       remainder.tryEmitError(error);
       return;
     }
+    release();
     sink.error(error);
   }
+
+  @Override
+  protected void hookOnCancel() {
+    if (!streaming) {
+      release();
+    }
+  }
 }
--- a/node/src/main/java/org/clementinepost/node/peer/BodyReceiver.java
+++ b/node/src/main/java/org/clementinepost/node/peer/BodyReceiver.java
@@ -18,7 +18,7 @@
  */
 final class BodyReceiver {
   /** Maximum number of chunks in flight on one stream. */
-  static final int WINDOW_CHUNKS = 32;
+  static final int WINDOW_CHUNKS = 8;
 
   private final Sinks.Many<Chunk> sink = Sinks.many().unicast().onBackpressureBuffer();
   private final Flux<Chunk> body;
--- /dev/null
+++ b/node/src/test/java/org/clementinepost/node/system/EndlessResponseProcessTest.java
@@ -0,0 +1,201 @@
+package org.clementinepost.node.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.clementinepost.api.NetworkAddress;
+import org.clementinepost.node.NodeMain;
+import org.clementinepost.testing.backend.RawServerStandIn;
+import org.clementinepost.testing.backend.RawServerStandIn.RawResponse;
+import org.clementinepost.testing.rows.HeartbeatBackendStandIn;
+import org.clementinepost.testing.rows.Heartbeats;
+import org.clementinepost.testing.rows.RowStoreStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Guards against a node that runs out of memory while a faulty backend server sends bodies without
+ * end to many callers at once, and then fails the requests of other services too.
+ */
+final class EndlessResponseProcessTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final int OK = 200;
+  private static final int LONG_BODY_BYTES = 6 << 20;
+  private static final long MAX_HEAD_BYTES = 1_000;
+  private static final long READER_DELAY_MILLIS = 1_500;
+  private static final int CALLERS = 60;
+  private static final int SOUND_REQUESTS = 40;
+  private static final int MAX_STARTUP_ATTEMPTS = 200;
+  private static final long RETRY_DELAY_MILLIS = 100;
+  private static final Vector<String> JVM_OPTIONS =
+      Vector.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC", "-Dreactor.netty.ioWorkerCount=1");
+
+  @TempDir private Path folder;
+  private final RowStoreStandIn store = RowStoreStandIn.start();
+  private final RawServerStandIn faultyServer =
+      RawServerStandIn.start(
+          request ->
+              RawResponse.endless(
+                  "HTTP/1.1 200 OK\r\nServer-Stamp: i-faulty\r\nAttempt-Id: "
+                      + RawServerStandIn.ATTEMPT_ID
+                      + "\r\n\r\n",
+                  "x"));
+  private final RawServerStandIn longServer =
+      RawServerStandIn.start(
+          request ->
+              RawResponse.once(
+                  "HTTP/1.1 200 OK\r\nServer-Stamp: i-long\r\nAttempt-Id: "
+                      + RawServerStandIn.ATTEMPT_ID
+                      + "\r\nContent-Length: "
+                      + LONG_BODY_BYTES
+                      + "\r\n\r\n"
+                      + "x".repeat(LONG_BODY_BYTES)));
+  private RunningProcess node;
+  private HeartbeatBackendStandIn soundServer;
+  private Heartbeats faultyHeartbeats;
+  private Heartbeats longHeartbeats;
+  private Vector<Socket> callers = Vector.empty();
+
+  private static String route(String service) {
+    return
+"""
+{"name":"%s","host":"a.example","prefix":"/%s/","kind":"safe","timeoutMs":5000,\
+"targetLatencyMs":1000,"priority":1,"service":"%s","maxAttempts":1,"authExempt":true}\
+"""
+        .formatted(service, service, service);
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    store.put(
+        "op",
+        "config",
+        "{\"version\":\"r1\",\"routes\":[%s,%s,%s],\"services\":[],\"tenants\":[]}"
+            .formatted(route("sound"), route("faulty"), route("long")));
+    Path settings =
+        Files.writeString(
+            folder.resolve("node.json"),
+            """
+            {"nodeId": "one", "failureDomain": "a", "localService": "sound",
+             "ingress": "127.0.0.1:0", "peer": "127.0.0.1:0",
+             "announce": "127.0.0.1:0", "operator": "127.0.0.1:0",
+             "rowStore": {"address": "%s"}, "keyWithdrawalMillis": 5000,
+             "farewellMillis": 100, "stopGraceSeconds": 2}
+            """
+                .formatted(store.address()));
+    node =
+        RunningProcess.start(
+            folder.resolve("node.log"),
+            JVM_OPTIONS,
+            NodeMain.class,
+            "--settings",
+            settings.toString());
+    NetworkAddress announce = new NetworkAddress("127.0.0.1", node.port("announce"));
+    soundServer = HeartbeatBackendStandIn.start("i-sound", "sound", announce);
+    faultyHeartbeats =
+        Heartbeats.builder(announce, "i-faulty", "faulty", faultyServer.address())
+            .slots(CALLERS + 4)
+            .start();
+    longHeartbeats = Heartbeats.builder(announce, "i-long", "long", longServer.address()).start();
+    awaitOk("/sound/x");
+    awaitOk("/long/x");
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    for (Socket caller : callers) {
+      caller.close();
+    }
+    faultyHeartbeats.close();
+    longHeartbeats.close();
+    soundServer.close();
+    node.close();
+    faultyServer.close();
+    longServer.close();
+    store.close();
+  }
+
+  private void awaitOk(String path) throws InterruptedException {
+    for (int attempt = 0; attempt < MAX_STARTUP_ATTEMPTS && statusOf(path) != OK; attempt++) {
+      Thread.sleep(RETRY_DELAY_MILLIS);
+    }
+  }
+
+  private int statusOf(String path) {
+    return HttpClient.create()
+        .headers(
+            headers ->
+                headers.set("Host", "a.example").set("Attempt-Id", "s").set("Deadline-Ms", "4000"))
+        .get()
+        .uri("http://127.0.0.1:" + node.port("ingress") + path)
+        .responseSingle(
+            (response, content) -> content.asByteArray().then(Mono.just(response.status().code())))
+        .timeout(TIMEOUT)
+        .onErrorReturn(0)
+        .block();
+  }
+
+  /** Opens a connection and sends a request, without reading the response. */
+  private Socket sendWithoutReading(String path, int number) throws IOException {
+    Socket caller = new Socket(InetAddress.getLoopbackAddress(), node.port("ingress"));
+    callers = callers.append(caller);
+    String request =
+        "GET "
+            + path
+            + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: f-"
+            + number
+            + "\r\nConnection: close\r\nDeadline-Ms: 5000\r\n\r\n";
+    caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    return caller;
+  }
+
+  @Test
+  void servesOtherServicesWhileManyCallersDoNotReadEndlessBodies() throws Exception {
+    for (int i = 0; i < CALLERS; i++) {
+      sendWithoutReading("/faulty/x", i);
+    }
+    Vector<Integer> statuses =
+        Vector.range(0, SOUND_REQUESTS)
+            .map(
+                i -> {
+                  pauseBetweenRequests();
+                  return statusOf("/sound/x");
+                });
+
+    assertThat(statuses).containsOnly(OK);
+    assertThat(faultyServer.connectionCount()).isGreaterThan(CALLERS / 2);
+    node.terminate();
+    assertThat(Files.readString(folder.resolve("node.log"))).doesNotContain("OutOfMemoryError");
+    assertThat(node.remainingOutput().exists(line -> line.contains("OutOfMemoryError"))).isFalse();
+  }
+
+  @Test
+  void deliversLongBodyWholeToCallerThatReadsLate() throws Exception {
+    Socket caller = sendWithoutReading("/long/x", 1);
+    Thread.sleep(READER_DELAY_MILLIS);
+
+    long received = caller.getInputStream().transferTo(OutputStream.nullOutputStream());
+
+    assertThat(received).isBetween((long) LONG_BODY_BYTES, LONG_BODY_BYTES + MAX_HEAD_BYTES);
+  }
+
+  private static void pauseBetweenRequests() {
+    try {
+      Thread.sleep(RETRY_DELAY_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/testing/src/main/java/org/clementinepost/testing/backend/RawServerStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/RawServerStandIn.java
@@ -8,11 +8,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.clementinepost.api.NetworkAddress;
 
 /**
@@ -21,6 +24,10 @@
  * <p>It expects requests without a body and never closes a connection on its own.
  */
 public final class RawServerStandIn implements AutoCloseable {
+  /** In the prefix of a response, replaced by the attempt id of the request. */
+  public static final String ATTEMPT_ID = "{attempt-id}";
+
+  private static final Pattern ATTEMPT_ID_HEADER = Pattern.compile("(?i)\r\nattempt-id: *(\\S+)");
   private static final String HEAD_END = "\r\n\r\n";
   private static final int BACKLOG = 50;
   private static final int CHUNK_BYTES = 8_192;
@@ -94,8 +101,11 @@
 
   private void serve(Socket socket) {
     try (socket) {
-      while (readHead(socket.getInputStream())) {
-        send(socket.getOutputStream(), responses.apply(requestCount.incrementAndGet()));
+      Optional<String> head = readHead(socket.getInputStream());
+      while (head.isPresent()) {
+        RawResponse response = responses.apply(requestCount.incrementAndGet());
+        send(socket.getOutputStream(), response, attemptId(head.get()));
+        head = readHead(socket.getInputStream());
       }
     } catch (IOException e) {
       // The peer reset the connection; the finally block records this.
@@ -106,21 +116,26 @@
     }
   }
 
-  private static boolean readHead(InputStream input) throws IOException {
+  private static String attemptId(String head) {
+    Matcher matcher = ATTEMPT_ID_HEADER.matcher(head);
+    return matcher.find() ? matcher.group(1) : "";
+  }
+
+  private static Optional<String> readHead(InputStream input) throws IOException {
     StringBuilder head = new StringBuilder();
     while (head.indexOf(HEAD_END) < 0) {
       int next = input.read();
       if (next < 0) {
-        return false;
+        return Optional.empty();
       }
       head.append((char) next);
     }
-    return true;
+    return Optional.of(head.toString());
   }
 
-  private void send(OutputStream output, RawResponse response)
+  private void send(OutputStream output, RawResponse response, String attemptId)
       throws IOException, InterruptedException {
-    write(output, response.prefix());
+    write(output, response.prefix().replace(ATTEMPT_ID, attemptId));
     while (!response.repeated().isEmpty()) {
       TimeUnit.MILLISECONDS.sleep(response.pauseMillis());
       write(output, response.repeated());
--- a/testing/src/main/java/org/clementinepost/testing/rows/HeartbeatBackendStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/rows/HeartbeatBackendStandIn.java
@@ -1,17 +1,12 @@
 package org.clementinepost.testing.rows;
 
-import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.testing.StandInServer;
 import org.reactivestreams.Publisher;
-import reactor.core.Disposable;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
-import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -23,31 +18,20 @@
  * of this project. Its responses carry the attempt id of the request and the id of the server.
  */
 public final class HeartbeatBackendStandIn implements AutoCloseable {
-  private static final Duration HEARTBEAT_PERIOD = Duration.ofMillis(500);
-  private static final Duration HEARTBEAT_TIMEOUT = Duration.ofSeconds(1);
   private static final int OK_STATUS = 200;
 
   private final String id;
-  private final String service;
-  private final NetworkAddress nodeAddress;
   private final StandInServer server;
-  private final AtomicLong sequence = new AtomicLong();
   private final AtomicInteger status = new AtomicInteger(OK_STATUS);
   private final AtomicInteger requestCount = new AtomicInteger();
   private final AtomicReference<String> lastHeaders = new AtomicReference<>("");
   private final AtomicReference<Mono<Void>> responseGate = new AtomicReference<>(Mono.empty());
-  private final Disposable heartbeats;
+  private final Heartbeats heartbeats;
 
   private HeartbeatBackendStandIn(String id, String service, NetworkAddress nodeAddress) {
     this.id = id;
-    this.service = service;
-    this.nodeAddress = nodeAddress;
     this.server = StandInServer.bind("127.0.0.1", 0, HttpServer.create().handle(this::handle));
-    this.heartbeats =
-        Flux.interval(Duration.ZERO, HEARTBEAT_PERIOD)
-            .onBackpressureDrop()
-            .concatMap(tick -> sendHeartbeat("ready").onErrorComplete())
-            .subscribe();
+    this.heartbeats = Heartbeats.builder(nodeAddress, id, service, server.address()).start();
   }
 
   /** Starts on a free port and sends heartbeats to a node. */
@@ -80,24 +64,7 @@
 
   /** Reports that the server is draining; completes once the node has responded. */
   public Mono<Void> drain() {
-    heartbeats.dispose();
-    return sendHeartbeat("draining");
-  }
-
-  private Mono<Void> sendHeartbeat(String state) {
-    String body =
-"""
-{"service":"%s","address":"%s","zone":"a","version":"v1","slots":5,"state":"%s",\
-"coldRemainingMs":0,"sequence":%d,"born":1}\
-"""
-            .formatted(service, server.address(), state, sequence.incrementAndGet());
-    return HttpClient.create()
-        .post()
-        .uri("http://" + nodeAddress + "/-/rpc?call=instances.heartbeat&of=" + id)
-        .send((request, outbound) -> outbound.sendString(Mono.just(body)))
-        .response()
-        .timeout(HEARTBEAT_TIMEOUT)
-        .then();
+    return heartbeats.drain();
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
@@ -114,7 +81,7 @@
 
   @Override
   public void close() {
-    heartbeats.dispose();
+    heartbeats.close();
     server.close();
   }
 }
