--- a/testing/src/main/java/org/clementinepost/testing/backend/RawServerStandIn.java
+++ b/testing/src/main/java/org/clementinepost/testing/backend/RawServerStandIn.java
@@ -21,7 +21,7 @@
 /**
  * A server that responds with arbitrary bytes, valid HTTP or not, and counts the bytes sent.
  *
- * <p>It expects requests without a body and never closes a connection on its own.
+ * <p>It expects requests without a body, and closes a connection only where a response says so.
  */
 public final class RawServerStandIn implements AutoCloseable {
   /** In the prefix of a response, replaced by the attempt id of the request. */
@@ -39,8 +39,19 @@
    * @param repeated sent after the prefix repeatedly until the peer closes the connection; nothing
    *     if empty
    * @param pauseMillis the pause before each repetition
+   * @param closing whether the connection is closed afterwards
    */
-  public record RawResponse(String prefix, String repeated, long pauseMillis) {
+  public record RawResponse(String prefix, String repeated, long pauseMillis, boolean closing) {
+    /** Creates a response after which the connection stays open. */
+    public RawResponse(String prefix, String repeated, long pauseMillis) {
+      this(prefix, repeated, pauseMillis, false);
+    }
+
+    /** Returns bytes after which the server closes the connection. */
+    public static RawResponse thenClose(String bytes) {
+      return new RawResponse(bytes, "", 0, true);
+    }
+
     /** Returns a response of finite length. */
     public static RawResponse once(String bytes) {
       return new RawResponse(bytes, "", 0);
@@ -105,7 +116,7 @@
       while (head.isPresent()) {
         RawResponse response = responses.apply(requestCount.incrementAndGet());
         send(socket.getOutputStream(), response, attemptId(head.get()));
-        head = readHead(socket.getInputStream());
+        head = response.closing() ? Optional.empty() : readHead(socket.getInputStream());
       }
     } catch (IOException e) {
       // The peer reset the connection; the finally block records this.
