--- a/node/src/test/java/org/clementinepost/node/system/EndlessResponseProcessTest.java
+++ b/node/src/test/java/org/clementinepost/node/system/EndlessResponseProcessTest.java
@@ -63,6 +63,7 @@
                       + "\r\n\r\n"
                       + "x".repeat(LONG_BODY_BYTES)));
   private RunningProcess node;
+  private RunningProcess otherNode;
   private HeartbeatBackendStandIn soundServer;
   private Heartbeats faultyHeartbeats;
   private Heartbeats longHeartbeats;
@@ -84,33 +85,39 @@
         "config",
         "{\"version\":\"r1\",\"routes\":[%s,%s,%s],\"services\":[],\"tenants\":[]}"
             .formatted(route("sound"), route("faulty"), route("long")));
+    node = startNode("one");
+    otherNode = startNode("two");
+    NetworkAddress announce = new NetworkAddress("127.0.0.1", node.port("announce"));
+    soundServer = HeartbeatBackendStandIn.start("i-sound", "sound", announce);
+    faultyHeartbeats =
+        Heartbeats.builder(announce, "i-faulty", "faulty", faultyServer.address())
+            .slots(CALLERS + 4)
+            .start();
+    longHeartbeats = Heartbeats.builder(announce, "i-long", "long", longServer.address()).start();
+    awaitOk(node, "/sound/x");
+    awaitOk(node, "/long/x");
+    awaitOk(otherNode, "/sound/x");
+    awaitOk(otherNode, "/long/x");
+  }
+
+  private RunningProcess startNode(String name) throws IOException {
     Path settings =
         Files.writeString(
-            folder.resolve("node.json"),
+            folder.resolve(name + ".json"),
             """
-            {"nodeId": "one", "failureDomain": "a", "localService": "sound",
+            {"nodeId": "%s", "failureDomain": "a", "localService": "sound",
              "ingress": "127.0.0.1:0", "peer": "127.0.0.1:0",
              "announce": "127.0.0.1:0", "operator": "127.0.0.1:0",
              "rowStore": {"address": "%s"}, "keyWithdrawalMillis": 5000,
              "farewellMillis": 100, "stopGraceSeconds": 2}
             """
-                .formatted(store.address()));
-    node =
-        RunningProcess.start(
-            folder.resolve("node.log"),
-            JVM_OPTIONS,
-            NodeMain.class,
-            "--settings",
-            settings.toString());
-    NetworkAddress announce = new NetworkAddress("127.0.0.1", node.port("announce"));
-    soundServer = HeartbeatBackendStandIn.start("i-sound", "sound", announce);
-    faultyHeartbeats =
-        Heartbeats.builder(announce, "i-faulty", "faulty", faultyServer.address())
-            .slots(CALLERS + 4)
-            .start();
-    longHeartbeats = Heartbeats.builder(announce, "i-long", "long", longServer.address()).start();
-    awaitOk("/sound/x");
-    awaitOk("/long/x");
+                .formatted(name, store.address()));
+    return RunningProcess.start(
+        folder.resolve(name + ".log"),
+        JVM_OPTIONS,
+        NodeMain.class,
+        "--settings",
+        settings.toString());
   }
 
   @AfterEach
@@ -122,18 +129,19 @@
     longHeartbeats.close();
     soundServer.close();
     node.close();
+    otherNode.close();
     faultyServer.close();
     longServer.close();
     store.close();
   }
 
-  private void awaitOk(String path) throws InterruptedException {
-    for (int attempt = 0; attempt < MAX_STARTUP_ATTEMPTS && statusOf(path) != OK; attempt++) {
+  private static void awaitOk(RunningProcess node, String path) throws InterruptedException {
+    for (int attempt = 0; attempt < MAX_STARTUP_ATTEMPTS && statusOf(node, path) != OK; attempt++) {
       Thread.sleep(RETRY_DELAY_MILLIS);
     }
   }
 
-  private int statusOf(String path) {
+  private static int statusOf(RunningProcess node, String path) {
     return HttpClient.create()
         .headers(
             headers ->
@@ -148,7 +156,8 @@
   }
 
   /** Opens a connection and sends a request, without reading the response. */
-  private Socket sendWithoutReading(String path, int number) throws IOException {
+  private Socket sendWithoutReading(RunningProcess node, String path, int number)
+      throws IOException {
     Socket caller = new Socket(InetAddress.getLoopbackAddress(), node.port("ingress"));
     callers = callers.append(caller);
     String request =
@@ -163,39 +172,44 @@
 
   @Test
   void servesOtherServicesWhileManyCallersDoNotReadEndlessBodies() throws Exception {
+    assertServesWhileCallersDoNotRead(node);
+  }
+
+  @Test
+  void servesOtherServicesWhileCallersOfAnotherNodeDoNotReadEndlessBodies() throws Exception {
+    assertServesWhileCallersDoNotRead(otherNode);
+  }
+
+  private void assertServesWhileCallersDoNotRead(RunningProcess ingress) throws Exception {
     for (int i = 0; i < CALLERS; i++) {
-      sendWithoutReading("/faulty/x", i);
+      sendWithoutReading(ingress, "/faulty/x", i);
+    }
+    Vector<Integer> statuses = Vector.empty();
+    for (int i = 0; i < SOUND_REQUESTS; i++) {
+      Thread.sleep(RETRY_DELAY_MILLIS);
+      statuses = statuses.append(statusOf(i % 2 == 0 ? node : otherNode, "/sound/x"));
     }
-    Vector<Integer> statuses =
-        Vector.range(0, SOUND_REQUESTS)
-            .map(
-                i -> {
-                  pauseBetweenRequests();
-                  return statusOf("/sound/x");
-                });
 
     assertThat(statuses).containsOnly(OK);
     assertThat(faultyServer.connectionCount()).isGreaterThan(CALLERS / 2);
     node.terminate();
-    assertThat(Files.readString(folder.resolve("node.log"))).doesNotContain("OutOfMemoryError");
-    assertThat(node.remainingOutput().exists(line -> line.contains("OutOfMemoryError"))).isFalse();
+    otherNode.terminate();
+    assertHadMemory("one.log", node);
+    assertHadMemory("two.log", otherNode);
+  }
+
+  private void assertHadMemory(String log, RunningProcess ended) throws IOException {
+    assertThat(Files.readString(folder.resolve(log))).doesNotContain("OutOfMemoryError");
+    assertThat(ended.remainingOutput().exists(line -> line.contains("OutOfMemoryError"))).isFalse();
   }
 
   @Test
   void deliversLongBodyWholeToCallerThatReadsLate() throws Exception {
-    Socket caller = sendWithoutReading("/long/x", 1);
+    Socket caller = sendWithoutReading(node, "/long/x", 1);
     Thread.sleep(READER_DELAY_MILLIS);
 
     long received = caller.getInputStream().transferTo(OutputStream.nullOutputStream());
 
     assertThat(received).isBetween((long) LONG_BODY_BYTES, LONG_BODY_BYTES + MAX_HEAD_BYTES);
   }
-
-  private static void pauseBetweenRequests() {
-    try {
-      Thread.sleep(RETRY_DELAY_MILLIS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
