End a request that the node's own services leave without a result

Cause: only attempts and look-ups had a time limit. A request that waited for a token or a placement waited for as long as its caller did. The same holds for a single request whose step is lost by an error that the reactive library rethrows in place of signalling it.

Change: a request without a result ends 100 ms after its deadline with 504, and the log names it (request-unfinished). What its services reply later starts no attempt.

Tests that failed before and pass: RequestDeadlineTest, timesOutWhenQuotaServiceDoesNotRespond and timesOutWhenRoutingServiceDoesNotRespond.

--- a/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
+++ b/node/src/main/java/org/clementinepost/node/edge/RequestPipeline.java
@@ -1,5 +1,6 @@
 package org.clementinepost.node.edge;
 
+import com.google.common.flogger.FluentLogger;
 import io.vavr.collection.HashSet;
 import io.vavr.collection.Set;
 import io.vavr.control.Either;
@@ -53,12 +54,17 @@
  * depend on HTTP, so another front end can use it.
  */
 final class RequestPipeline {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /**
    * The host enforces the deadline too; the ingress waits this much longer to receive the host's
    * failure.
    */
   private static final long HOST_GRACE_MILLIS = 20;
 
+  /** The node itself waits this much longer than the deadline, after the ingress has given up. */
+  private static final long NODE_GRACE_MILLIS = 100;
+
   private static final int FIRST_ERROR_STATUS = 400;
 
   /** A backend server's error response of up to this length is buffered during a retry. */
@@ -97,10 +103,27 @@
     return Results.then(
         authorized,
         head ->
-            attemptWithinQuota(head, body, deadlineNanos(head))
+            endAtDeadline(head, attemptWithinQuota(head, body, deadlineNanos(head)))
                 .doOnNext(result -> reportFailedOutgoingCall(head, result)));
   }
 
+  /**
+   * Fails a request that has no result shortly after its deadline. Each attempt ends by itself
+   * before that; this one is for a step of the node that doesn't respond.
+   */
+  private Mono<Either<Failure, BackendResponse>> endAtDeadline(
+      RequestHead head, Mono<Either<Failure, BackendResponse>> result) {
+    return result.timeout(
+        Duration.ofMillis(head.timeoutMillis() + NODE_GRACE_MILLIS),
+        Mono.fromSupplier(() -> Either.left(noResponseOfNode(head))),
+        scheduler);
+  }
+
+  private static Failure noResponseOfNode(RequestHead head) {
+    logger.atWarning().log("event=request-unfinished request=%s", head.requestId());
+    return Failure.of(ResultCode.BACKEND_TIMED_OUT, "no result of the node at the deadline");
+  }
+
   /**
    * Reports to the host service that a call of the local backend server to another service failed.
    *
--- a/node/src/main/java/org/clementinepost/node/health/HealthService.java
+++ b/node/src/main/java/org/clementinepost/node/health/HealthService.java
@@ -90,7 +90,7 @@
   private void handle(StallEffect effect) {
     if (effect instanceof StallEffect.StalledTasksChanged changed) {
       logger.atSevere().log("event=tasks-stalled tasks=%s", changed.tasks().mkString(","));
-      send(changed.tasks());
+      report(changed.tasks());
       return;
     }
     StallEffect.EndProcess end = (StallEffect.EndProcess) effect;
@@ -99,7 +99,7 @@
     pendingReplies = Vector.empty();
   }
 
-  private void send(Vector<String> stalledTasks) {
+  private void report(Vector<String> stalledTasks) {
     context
         .registry()
         .find(OperatorService.NAME)
--- a/node/src/test/java/org/clementinepost/node/edge/RequestDeadlineTest.java
+++ b/node/src/test/java/org/clementinepost/node/edge/RequestDeadlineTest.java
@@ -61,6 +61,7 @@
   private final List<Reply<Either<Failure, RequestHead>>> tokenReplies = new ArrayList<>();
   private final List<PeerServiceMessage.Exchange> sentExchanges = new ArrayList<>();
   private boolean serviceKnown = true;
+  private boolean routingResponds = true;
   private Option<CustomerId> customer = Option.none();
 
   private void start() {
@@ -126,7 +127,7 @@
   }
 
   private void place(RoutingMessage message) {
-    if (message instanceof RoutingMessage.Place place) {
+    if (message instanceof RoutingMessage.Place place && routingResponds) {
       place
           .reply()
           .send(
@@ -164,6 +165,30 @@
     assertThat(resultCodes()).containsExactly(ResultCode.BACKEND_TIMED_OUT);
   }
 
+  /** Guards against requests that get no response when a task of the node has stopped. */
+  @Test
+  void timesOutWhenQuotaServiceDoesNotRespond() {
+    customer = Option.some(new CustomerId("c"));
+    start();
+    advanceTime(TIMEOUT_MILLIS + SLACK_MILLIS);
+
+    assertThat(resultCodes()).containsExactly(ResultCode.BACKEND_TIMED_OUT);
+
+    tokenReplies.forEach(reply -> reply.send(Either.right(head(request()))));
+    advanceTime(0);
+
+    assertThat(sentExchanges).isEmpty();
+  }
+
+  @Test
+  void timesOutWhenRoutingServiceDoesNotRespond() {
+    routingResponds = false;
+    start();
+    advanceTime(TIMEOUT_MILLIS + SLACK_MILLIS);
+
+    assertThat(resultCodes()).containsExactly(ResultCode.BACKEND_TIMED_OUT);
+  }
+
   @Test
   void subtractsLookupTimeFromRequestTimeout() {
     serviceKnown = false;
