Stop a node during uploads, and two hosts in turn

Two of the planned stops that had not been tried: an upload that is half sent when its node gets SIGTERM, buffered and streamed, gets its response; with two hosts stopped one after the other no request of another ingress node fails.

--- a/node/src/test/java/org/clementinepost/node/system/GracefulStopProcessTest.java
+++ b/node/src/test/java/org/clementinepost/node/system/GracefulStopProcessTest.java
@@ -46,6 +46,21 @@
     }
   }
 
+  @Test
+  void gracefulStopsOfTwoHostsInTurnFailNoRequest() throws Exception {
+    AtomicBoolean stopped = new AtomicBoolean();
+    Vector<CompletableFuture<Vector<Integer>>> callers =
+        Vector.range(0, CALLERS)
+            .map(i -> CompletableFuture.supplyAsync(() -> requestUntilStopped("node-1", stopped)));
+    Thread.sleep(LOAD_BEFORE_MILLIS);
+    fleet.node("node-2").terminate();
+    fleet.node("node-3").terminate();
+    stopped.set(true);
+    for (CompletableFuture<Vector<Integer>> caller : callers) {
+      assertThat(caller.get()).isNotEmpty().containsOnly(200);
+    }
+  }
+
   @Test
   void logOfGracefulStopEndsWithItsOutcome() throws Exception {
     Path settings =
--- a/node/src/test/java/org/clementinepost/node/system/KeptConnectionStopTest.java
+++ b/node/src/test/java/org/clementinepost/node/system/KeptConnectionStopTest.java
@@ -28,6 +28,9 @@
   private static final int OK = 200;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int NO_RESPONSE = 0;
+  private static final int BUFFERED_UPLOAD_BYTES = 200_000;
+  private static final int STREAMED_UPLOAD_BYTES = 3_000_000;
+  private static final long UPLOAD_PAUSE_MILLIS = 800;
   private static final int STATUS_START = "HTTP/1.1 ".length();
   private static final String HEAD_END = "\r\n\r\n";
   private static final String CONTENT_LENGTH = "\r\ncontent-length: ";
@@ -64,6 +67,43 @@
     assertThat(totalRuns() - runsBefore).isEqualTo(served);
   }
 
+  /** Guards against an upload that is cut when its node stops before the last byte has arrived. */
+  @Test
+  void uploadsInProgressAreCompleted() throws Exception {
+    for (int bytes : new int[] {BUFFERED_UPLOAD_BYTES, STREAMED_UPLOAD_BYTES}) {
+      String node = bytes == BUFFERED_UPLOAD_BYTES ? "node-1" : "node-2";
+      try (Socket socket =
+          new Socket(InetAddress.getLoopbackAddress(), fleet.node(node).port("ingress"))) {
+        startUpload(socket, bytes);
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> terminate(node));
+        Thread.sleep(UPLOAD_PAUSE_MILLIS);
+        socket.getOutputStream().write(new byte[bytes / 2]);
+        assertThat(readResponse(socket.getInputStream())).isEqualTo(OK);
+        stopped.join();
+      }
+    }
+  }
+
+  private void terminate(String node) {
+    try {
+      fleet.node(node).terminate();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Sends the head of an upload and the first half of its body. */
+  private static void startUpload(Socket socket, int bytes) throws IOException {
+    String head =
+        "POST /upload HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer "
+            + ProcessFleet.KEY
+            + "\r\nContent-Length: "
+            + bytes
+            + HEAD_END;
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().write(new byte[bytes / 2]);
+  }
+
   private long totalRuns() throws Exception {
     long total = 0;
     for (String server : Vector.of("server-1", "server-2", "server-3")) {
