--- a/node/src/test/java/org/clementinepost/node/KeptConnectionTest.java
+++ b/node/src/test/java/org/clementinepost/node/KeptConnectionTest.java
@@ -7,6 +7,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.clementinepost.testing.rows.HeartbeatBackendStandIn;
+import org.clementinepost.testing.rows.OpenRoutes;
 import org.clementinepost.testing.rows.RowStoreStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -35,22 +36,9 @@
     second = RowStoreNodes.start(store, "second", "near");
   }
 
-  private static String route(String service) {
-    return
-"""
-{"name":"%s","host":"a.example","prefix":"/%s/","kind":"safe","timeoutMs":5000,\
-"targetLatencyMs":1000,"priority":1,"service":"%s","maxAttempts":2,"authExempt":true}\
-"""
-        .formatted(service, service, service);
-  }
-
   @BeforeEach
   void startServersAndAwaitRoutes() {
-    store.put(
-        "op",
-        "config",
-        "{\"version\":\"r1\",\"routes\":[%s,%s],\"services\":[],\"tenants\":[]}"
-            .formatted(route("near"), route("far")));
+    store.put("op", "config", OpenRoutes.configuration("near", "far"));
     localServer =
         HeartbeatBackendStandIn.start("i-near", "near", RowStoreNodes.announceAddress(first));
     remoteServer =
--- a/node/src/test/java/org/clementinepost/node/system/EndlessResponseProcessTest.java
+++ b/node/src/test/java/org/clementinepost/node/system/EndlessResponseProcessTest.java
@@ -17,6 +17,7 @@
 import org.clementinepost.testing.backend.RawServerStandIn.RawResponse;
 import org.clementinepost.testing.rows.HeartbeatBackendStandIn;
 import org.clementinepost.testing.rows.Heartbeats;
+import org.clementinepost.testing.rows.OpenRoutes;
 import org.clementinepost.testing.rows.RowStoreStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -69,22 +70,9 @@
   private Heartbeats longHeartbeats;
   private Vector<Socket> callers = Vector.empty();
 
-  private static String route(String service) {
-    return
-"""
-{"name":"%s","host":"a.example","prefix":"/%s/","kind":"safe","timeoutMs":5000,\
-"targetLatencyMs":1000,"priority":1,"service":"%s","maxAttempts":1,"authExempt":true}\
-"""
-        .formatted(service, service, service);
-  }
-
   @BeforeEach
   void start() throws Exception {
-    store.put(
-        "op",
-        "config",
-        "{\"version\":\"r1\",\"routes\":[%s,%s,%s],\"services\":[],\"tenants\":[]}"
-            .formatted(route("sound"), route("faulty"), route("long")));
+    store.put("op", "config", OpenRoutes.configuration("sound", "faulty", "long"));
     node = startNode("one");
     otherNode = startNode("two");
     NetworkAddress announce = new NetworkAddress("127.0.0.1", node.port("announce"));
@@ -145,7 +133,10 @@
     return HttpClient.create()
         .headers(
             headers ->
-                headers.set("Host", "a.example").set("Attempt-Id", "s").set("Deadline-Ms", "4000"))
+                headers
+                    .set("Host", OpenRoutes.HOST)
+                    .set("Attempt-Id", "s")
+                    .set("Deadline-Ms", "4000"))
         .get()
         .uri("http://127.0.0.1:" + node.port("ingress") + path)
         .responseSingle(
@@ -163,7 +154,9 @@
     String request =
         "GET "
             + path
-            + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: f-"
+            + " HTTP/1.1\r\nHost: "
+            + OpenRoutes.HOST
+            + "\r\nAttempt-Id: f-"
             + number
             + "\r\nConnection: close\r\nDeadline-Ms: 5000\r\n\r\n";
     caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
--- a/node/src/test/java/org/clementinepost/node/system/GracefulStopProcessTest.java
+++ b/node/src/test/java/org/clementinepost/node/system/GracefulStopProcessTest.java
@@ -34,27 +34,23 @@
 
   @Test
   void gracefulStopOfHostFailsNoRequestOfOtherIngress() throws Exception {
-    AtomicBoolean stopped = new AtomicBoolean();
-    Vector<CompletableFuture<Vector<Integer>>> callers =
-        Vector.range(0, CALLERS)
-            .map(i -> CompletableFuture.supplyAsync(() -> requestUntilStopped("node-1", stopped)));
-    Thread.sleep(LOAD_BEFORE_MILLIS);
-    fleet.node("node-3").terminate();
-    stopped.set(true);
-    for (CompletableFuture<Vector<Integer>> caller : callers) {
-      assertThat(caller.get()).isNotEmpty().containsOnly(200);
-    }
+    assertStopsFailNoRequestOfNode1("node-3");
   }
 
   @Test
   void gracefulStopsOfTwoHostsInTurnFailNoRequest() throws Exception {
+    assertStopsFailNoRequestOfNode1("node-2", "node-3");
+  }
+
+  private void assertStopsFailNoRequestOfNode1(String... stoppedNodes) throws Exception {
     AtomicBoolean stopped = new AtomicBoolean();
     Vector<CompletableFuture<Vector<Integer>>> callers =
         Vector.range(0, CALLERS)
             .map(i -> CompletableFuture.supplyAsync(() -> requestUntilStopped("node-1", stopped)));
     Thread.sleep(LOAD_BEFORE_MILLIS);
-    fleet.node("node-2").terminate();
-    fleet.node("node-3").terminate();
+    for (String node : stoppedNodes) {
+      fleet.node(node).terminate();
+    }
     stopped.set(true);
     for (CompletableFuture<Vector<Integer>> caller : callers) {
       assertThat(caller.get()).isNotEmpty().containsOnly(200);
