review: case 6, a kept connection that is never read again

The second of two pipelined requests is refused by the node, and the next request on the connection gets no answer.

--- a/review/standins-2/reviewkit/Backend.java
+++ b/review/standins-2/reviewkit/Backend.java
@@ -90,6 +90,25 @@
     return runs;
   }
 
+  /** Returns the most requests that arrived in one second between two times. */
+  public int mostRunsInOneSecond(long fromNanos, long toNanos) {
+    long[] arrivals =
+        runs.stream()
+            .mapToLong(Run::arrivedNanos)
+            .filter(nanos -> nanos >= fromNanos && nanos < toNanos)
+            .sorted()
+            .toArray();
+    int most = 0;
+    int first = 0;
+    for (int last = 0; last < arrivals.length; last++) {
+      while (arrivals[last] - arrivals[first] >= TimeUnit.SECONDS.toNanos(1)) {
+        first++;
+      }
+      most = Math.max(most, last - first + 1);
+    }
+    return most;
+  }
+
   /** Sends a heartbeat every 1.5 s until the backend leaves. */
   public void startHeartbeats() {
     threads.execute(
--- a/review/standins-2/reviewkit/Case.java
+++ b/review/standins-2/reviewkit/Case.java
@@ -92,7 +92,11 @@
   }
 
   protected final Node startNode(String name, String zone, String service) {
-    Node node = add(new Node(record, work, name, zone, service, store.address()));
+    return startNode(name, zone, service, false);
+  }
+
+  protected final Node startNode(String name, String zone, String service, boolean pipelining) {
+    Node node = add(new Node(record, work, name, zone, service, store.address(), pipelining));
     node.start();
     return node;
   }
--- a/review/standins-2/reviewkit/ColdBackendCase.java
+++ b/review/standins-2/reviewkit/ColdBackendCase.java
@@ -1,7 +1,6 @@
 package reviewkit;
 
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A node is restarted while the store is down, and the backend beside it turns cold again. The
@@ -55,28 +54,10 @@
     pause(COLD_MILLIS - 500);
     long toNanos = System.nanoTime();
     loadStopped = true;
-    int most = mostRunsInOneSecond(cold, fromNanos, toNanos);
+    int most = cold.mostRunsInOneSecond(fromNanos, toNanos);
     record.report(
         "most requests in one second at the cold server, after it had said so: %d, bound %.1f",
         most, MAX_COLD_REQUESTS_PER_SECOND);
     return most <= MAX_COLD_REQUESTS_PER_SECOND;
   }
-
-  private static int mostRunsInOneSecond(Backend server, long fromNanos, long toNanos) {
-    long[] arrivals =
-        server.runs().stream()
-            .mapToLong(Backend.Run::arrivedNanos)
-            .filter(nanos -> nanos >= fromNanos && nanos < toNanos)
-            .sorted()
-            .toArray();
-    int most = 0;
-    int first = 0;
-    for (int last = 0; last < arrivals.length; last++) {
-      while (arrivals[last] - arrivals[first] >= TimeUnit.SECONDS.toNanos(1)) {
-        first++;
-      }
-      most = Math.max(most, last - first + 1);
-    }
-    return most;
-  }
 }
--- a/review/standins-2/reviewkit/Configurations.java
+++ b/review/standins-2/reviewkit/Configurations.java
@@ -7,6 +7,8 @@
 final class Configurations {
   static final String HOST = "a.example";
 
+  static final int SHORT_TIMEOUT_MILLIS = 2_000;
+
   private static final double COLD_START_SECONDS = 3.0;
   private static final int COLD_REQUESTS_PER_SECOND = 51;
 
@@ -29,6 +31,20 @@
         .formatted(version, routes, list);
   }
 
+  /** Returns a configuration of one service, whose routes ask for the key of a limited tenant. */
+  static String limitedTenant(String version, String service, String key, int perSecond) {
+    String routes =
+        route("read", "/read/" + service + "/", "safe", service)
+            + ","
+            + route("book", "/book/" + service + "/", "unsafe", service);
+    return "{\"version\":\"%s\",\"routes\":[%s],\"services\":[%s],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":8388608,\"headerTimeoutMs\":10000,\"idleTimeoutMs\":60000},\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"%s\"],\"priority\":1,\"ratePerS\":%d,\"burst\":%d}]}"
+        .formatted(
+            version,
+            routes.replace("\"authExempt\":true", "\"authExempt\":false")
+                .replace("\"timeoutMs\":4000", "\"timeoutMs\":" + SHORT_TIMEOUT_MILLIS),
+            service(service), key, perSecond, perSecond);
+  }
+
   private static String route(String name, String prefix, String kind, String service) {
     return "{\"name\":\"%s\",\"host\":\"%s\",\"prefix\":\"%s\",\"kind\":\"%s\",\"timeoutMs\":4000,\"targetLatencyMs\":2000,\"priority\":1,\"service\":\"%s\",\"maxAttempts\":2,\"authExempt\":true}"
         .formatted(name, HOST, prefix, kind, service);
--- a/review/standins-2/reviewkit/HangupAtStartCase.java
+++ b/review/standins-2/reviewkit/HangupAtStartCase.java
@@ -7,6 +7,9 @@
   private static final int SLOTS = 6;
   private static final long WORK_MILLIS = 50;
 
+  /** After this time the process exists, and the JVM is still starting. */
+  private static final long START_MILLIS = 150;
+
   public static void main(String[] arguments) throws Exception {
     new HangupAtStartCase().main(arguments[0]);
   }
@@ -17,7 +20,7 @@
     Node node = startNode("first", "a", "desk");
     startBackend(node, "i-desk-1", "desk", "a", SLOTS, WORK_MILLIS).startHeartbeats();
     if (trouble) {
-      pause(Long.getLong("delay", 300));
+      pause(START_MILLIS);
       node.signal("HUP");
     }
     int status = node.awaitEnd(8_000);
--- a/review/standins-2/reviewkit/Http.java
+++ b/review/standins-2/reviewkit/Http.java
@@ -93,7 +93,7 @@
     }
   }
 
-  private static Response read(InputStream in) throws IOException {
+  static Response read(InputStream in) throws IOException {
     String statusLine = line(in);
     if (!statusLine.startsWith("HTTP/1.1 ")) {
       return Response.none("no status line: " + statusLine);
--- a/review/standins-2/reviewkit/Node.java
+++ b/review/standins-2/reviewkit/Node.java
@@ -16,6 +16,9 @@
 /** A node, started as a process of its own by the command of the deploy file. */
 public final class Node implements AutoCloseable {
   private static final String SETTINGS_PATH = "/etc/clementinepost/local.json";
+  private static final String LOAD_SETTINGS =
+      "\"load\": {\"queries\": true, \"fairQueue\": false, \"secondAttempts\": true,"
+          + " \"maxPipelinedRequests\": 16},";
   private static final int MIN_PORT = 12_000;
   private static final int PORT_RANGE = 18_000;
 
@@ -24,6 +27,7 @@
   private final String name;
   private final String zone;
   private final String storeAddress;
+  private final boolean pipelining;
   private final int ingressPort = freePort();
   private final int peerPort = freePort();
   private final int announcePort = freePort();
@@ -32,14 +36,27 @@
   private String service;
   private Process process;
 
+  /**
+   * Creates a node.
+   *
+   * @param pipelining whether the deployment has no evacuations, for which deploy/node.json.tmpl
+   *     adds the settings under "load"
+   */
   public Node(
-      Record record, Path work, String name, String zone, String service, String storeAddress) {
+      Record record,
+      Path work,
+      String name,
+      String zone,
+      String service,
+      String storeAddress,
+      boolean pipelining) {
     this.record = record;
     this.work = work;
     this.name = name;
     this.zone = zone;
     this.service = service;
     this.storeAddress = storeAddress;
+    this.pipelining = pipelining;
     writeSettings();
   }
 
@@ -84,12 +101,13 @@
          "announce": "%s", "operator": "%s", "rowStore": {"address": "%s"},
          "keyWithdrawalMillis": 5000,
          "quota": {"toleratedShare": 0.1, "toleratedRequests": 20, "windowSeconds": 5},
-         "retries": {"fraction": 0.2, "burst": 60},
+         "retries": {"fraction": 0.2, "burst": 60},%s
          "farewellMillis": 2500, "stopGraceSeconds": 6}
         """
             .formatted(
                 name, zone, service, backendPort, ingress(), peerPort, control(), ready(),
-                storeAddress);
+                storeAddress,
+                pipelining ? LOAD_SETTINGS : "");
     try {
       Path next = work.resolve(name + ".json.next");
       Files.writeString(next, text);
@@ -134,6 +152,12 @@
     return Http.send(ready(), "GET", "/-/readiness", Map.of(), "", 1_000).status() == 200;
   }
 
+  /** Returns the number of descriptors that the process holds; -1 if it can't be read. */
+  public int descriptors() {
+    String[] entries = Path.of("/proc", String.valueOf(process.pid()), "fd").toFile().list();
+    return entries == null ? -1 : entries.length;
+  }
+
   public boolean isAlive() {
     return process != null && process.isAlive();
   }
