--- a/review/standins-2/reviewkit/Backend.java
+++ b/review/standins-2/reviewkit/Backend.java
@@ -40,6 +40,7 @@
   private final long bornMillis = System.currentTimeMillis();
   private final AtomicLong sequence = new AtomicLong();
   private final Semaphore freeSlots;
+  private final AtomicInteger acknowledgedHeartbeats = new AtomicInteger();
   private final AtomicInteger held = new AtomicInteger();
   private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
   private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -131,7 +132,14 @@
   }
 
   public boolean sendHeartbeat() {
-    return deliver(prepareHeartbeat());
+    boolean acknowledged = deliver(prepareHeartbeat());
+    acknowledgedHeartbeats.addAndGet(acknowledged ? 1 : 0);
+    return acknowledged;
+  }
+
+  /** Returns how many heartbeats have been acknowledged. */
+  public int acknowledgedHeartbeats() {
+    return acknowledgedHeartbeats.get();
   }
 
   /** Returns the body of the next heartbeat, as the backend is now. */
--- a/review/standins-2/reviewkit/Configurations.java
+++ b/review/standins-2/reviewkit/Configurations.java
@@ -31,17 +31,21 @@
         .formatted(version, routes, list);
   }
 
-  /** Returns a configuration of one service, whose routes ask for the key of a limited tenant. */
+  /** Returns a configuration of one service with open routes, and a safe one for a limited tenant. */
   static String limitedTenant(String version, String service, String key, int perSecond) {
+    String keyed =
+        route("own", "/own/" + service + "/", "safe", service)
+            .replace("\"authExempt\":true", "\"authExempt\":false");
     String routes =
         route("read", "/read/" + service + "/", "safe", service)
             + ","
-            + route("book", "/book/" + service + "/", "unsafe", service);
+            + route("book", "/book/" + service + "/", "unsafe", service)
+            + ","
+            + keyed;
     return "{\"version\":\"%s\",\"routes\":[%s],\"services\":[%s],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":8388608,\"headerTimeoutMs\":10000,\"idleTimeoutMs\":60000},\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"%s\"],\"priority\":1,\"ratePerS\":%d,\"burst\":%d}]}"
         .formatted(
             version,
-            routes.replace("\"authExempt\":true", "\"authExempt\":false")
-                .replace("\"timeoutMs\":4000", "\"timeoutMs\":" + SHORT_TIMEOUT_MILLIS),
+            routes.replace("\"timeoutMs\":4000", "\"timeoutMs\":" + SHORT_TIMEOUT_MILLIS),
             service(service), key, perSecond, perSecond);
   }
 
--- a/review/standins-2/reviewkit/KeptConnection.java
+++ b/review/standins-2/reviewkit/KeptConnection.java
@@ -28,7 +28,7 @@
       String method, String path, String attempt, String key, int deadlineMillis, int length) {
     return method + " " + path + " HTTP/1.1\r\nHost: " + Configurations.HOST
         + "\r\nAttempt-Id: " + attempt + "\r\nDeadline-Ms: " + deadlineMillis
-        + "\r\nAuthorization: Bearer " + key
+        + (key.isEmpty() ? "" : "\r\nAuthorization: Bearer " + key)
         + (length > 0 ? "\r\nContent-Length: " + length : "") + "\r\n\r\n";
   }
 
--- a/review/standins-2/reviewkit/PipelinedRefusalCase.java
+++ b/review/standins-2/reviewkit/PipelinedRefusalCase.java
@@ -16,14 +16,14 @@
   private static final int DEADLINE_MILLIS = 4_000;
   private static final int GRACE_MILLIS = 500;
 
-  /** Each client sends three requests in this time: 5 requests a second from all of them. */
-  private static final int USUAL_PERIOD_MILLIS = 12_000;
+  /** Each client sends one request with the key in this time: 5 a second from all of them. */
+  private static final int USUAL_PERIOD_MILLIS = 4_000;
 
   /** The tenant's burst of traffic, x = 7.5 for 6.5 s. */
   private static final double FACTOR = 7.5;
 
   private static final long HOT_MILLIS = 6_500;
-  private static final long USUAL_MILLIS = 14_000;
+  private static final long USUAL_MILLIS = 10_000;
 
   /** The rule asks for eight requests at least that are unanswered at their time-out. */
   private static final int MIN_UNANSWERED = 8;
@@ -109,12 +109,12 @@
     }
   }
 
-  /** Sends two safe requests at once and, after both answers, a booking. */
+  /** Sends two safe requests at once, the second with the key, and a booking after both answers. */
   private boolean play(KeptConnection connection, String name) throws IOException {
     record.write("%s sends a and b at once", name);
     connection.send(
-        KeptConnection.head("GET", "/read/desk/a", name + "-a", KEY, DEADLINE_MILLIS, 0)
-            + KeptConnection.head("GET", "/read/desk/b", name + "-b", KEY, DEADLINE_MILLIS, 0));
+        KeptConnection.head("GET", "/read/desk/a", name + "-a", "", DEADLINE_MILLIS, 0)
+            + KeptConnection.head("GET", "/own/desk/b", name + "-b", KEY, DEADLINE_MILLIS, 0));
     boolean keptOpen = receive(connection, name + "-a", DEADLINE_MILLIS);
     keptOpen &= receive(connection, name + "-b", DEADLINE_MILLIS);
     if (!keptOpen) {
@@ -123,7 +123,7 @@
     pause(50);
     record.write("%s sends its booking", name);
     connection.send(
-        KeptConnection.head("POST", "/book/desk/c", name + "-c", KEY, DEADLINE_MILLIS, 4)
+        KeptConnection.head("POST", "/book/desk/c", name + "-c", "", DEADLINE_MILLIS, 4)
             + "body");
     return receiveBooking(connection, name + "-c");
   }
--- a/review/standins-2/reviewkit/ReturnedZoneCase.java
+++ b/review/standins-2/reviewkit/ReturnedZoneCase.java
@@ -35,6 +35,8 @@
     pause(3_000);
     store.put("op", "evacuate/b", "{}");
     pause(EVACUATED_MILLIS);
+    int heartbeats = server.acknowledgedHeartbeats();
+    await("a heartbeat", 5_000, () -> server.acknowledgedHeartbeats() > heartbeats);
     if (trouble) {
       server.turnCold(COLD_MILLIS);
     }
