--- a/review/standins-2/reviewkit/Backend.java
+++ b/review/standins-2/reviewkit/Backend.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -42,6 +43,7 @@
   private final Semaphore freeSlots;
   private final AtomicInteger acknowledgedHeartbeats = new AtomicInteger();
   private final AtomicInteger held = new AtomicInteger();
+  private final Map<String, Long> arrivals = new ConcurrentHashMap<>();
   private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final HttpServer server;
@@ -91,6 +93,11 @@
     return runs;
   }
 
+  /** Returns when the head of each request arrived, by the id of the attempt. */
+  public Map<String, Long> arrivals() {
+    return arrivals;
+  }
+
   /** Returns the most requests that arrived in one second between two times. */
   public int mostRunsInOneSecond(long fromNanos, long toNanos) {
     long[] arrivals =
@@ -182,8 +189,12 @@
 
   private void handle(HttpExchange exchange) throws IOException {
     long arrivedNanos = System.nanoTime();
-    exchange.getRequestBody().readAllBytes();
     String path = exchange.getRequestURI().getPath();
+    String attempt = exchange.getRequestHeaders().getFirst("Attempt-Id");
+    if (attempt != null) {
+      arrivals.put(attempt, arrivedNanos);
+    }
+    readBody(exchange, attempt, arrivedNanos);
     if (path.equals("/health")) {
       exchange.getResponseHeaders().set("Instance-Id", id);
       exchange.getResponseHeaders().set("Instance-Load", held.get() + ",0," + slots);
@@ -193,7 +204,6 @@
       Http.respond(exchange, leaving ? UNAVAILABLE_STATUS : OK_STATUS, new byte[0]);
       return;
     }
-    String attempt = exchange.getRequestHeaders().getFirst("Attempt-Id");
     if (attempt != null) {
       exchange.getResponseHeaders().set("Attempt-Id", attempt);
     }
@@ -223,6 +233,18 @@
     Http.respond(exchange, OK_STATUS, ("answer of " + id).getBytes(StandardCharsets.UTF_8));
   }
 
+  private void readBody(HttpExchange exchange, String attempt, long arrivedNanos)
+      throws IOException {
+    try {
+      exchange.getRequestBody().readAllBytes();
+    } catch (IOException e) {
+      record.write(
+          "backend %s: the body of %s breaks off after %d ms",
+          id, attempt, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedNanos));
+      throw e;
+    }
+  }
+
   @Override
   public void close() {
     closed = true;
