--- a/review/standins-2/reviewkit/Backend.java
+++ b/review/standins-2/reviewkit/Backend.java
@@ -29,7 +29,8 @@
   private static final int UNAVAILABLE_STATUS = 503;
 
   /** A request that the backend has run. */
-  public record Run(long arrivedNanos, String attemptId, String callerService, String path) {}
+  public record Run(
+      long arrivedNanos, String attemptId, String callerService, String path, String body) {}
 
   private final Record record;
   private final String id;
@@ -194,7 +195,7 @@
     if (attempt != null) {
       arrivals.put(attempt, arrivedNanos);
     }
-    readBody(exchange, attempt, arrivedNanos);
+    String body = readBody(exchange, attempt, arrivedNanos);
     if (path.equals("/health")) {
       exchange.getResponseHeaders().set("Instance-Id", id);
       exchange.getResponseHeaders().set("Instance-Load", held.get() + ",0," + slots);
@@ -222,8 +223,10 @@
     freeSlots.acquireUninterruptibly();
     try {
       String caller = exchange.getRequestHeaders().getFirst("Caller-Service");
-      runs.add(new Run(arrivedNanos, attempt, caller == null ? "" : caller, path));
-      record.write("backend %s runs %s %s caller=%s", id, attempt, path, caller);
+      runs.add(new Run(arrivedNanos, attempt, caller == null ? "" : caller, path, body));
+      record.write(
+          "backend %s runs %s %s caller=%s body=%d bytes",
+          id, attempt, path, caller, body.length());
       Case.sleep(coldRemainingMillis() > 0 ? workMillis * COLD_SLOWDOWN : workMillis);
     } finally {
       freeSlots.release();
@@ -233,10 +236,10 @@
     Http.respond(exchange, OK_STATUS, ("answer of " + id).getBytes(StandardCharsets.UTF_8));
   }
 
-  private void readBody(HttpExchange exchange, String attempt, long arrivedNanos)
+  private String readBody(HttpExchange exchange, String attempt, long arrivedNanos)
       throws IOException {
     try {
-      exchange.getRequestBody().readAllBytes();
+      return new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
     } catch (IOException e) {
       record.write(
           "backend %s: the body of %s breaks off after %d ms",
--- a/review/standins-2/reviewkit/KeptConnection.java
+++ b/review/standins-2/reviewkit/KeptConnection.java
@@ -32,6 +32,13 @@
         + (length > 0 ? "\r\nContent-Length: " + length : "") + "\r\n\r\n";
   }
 
+  /** Returns the head of a request without a key, whose body follows in chunks. */
+  static String chunkedHead(String method, String path, String attempt, int deadlineMillis) {
+    return method + " " + path + " HTTP/1.1\r\nHost: " + Configurations.HOST
+        + "\r\nAttempt-Id: " + attempt + "\r\nDeadline-Ms: " + deadlineMillis
+        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+
   void send(String requests) throws IOException {
     socket.getOutputStream().write(requests.getBytes(StandardCharsets.ISO_8859_1));
   }
