--- a/review/standins-2/reviewkit/Node.java
+++ b/review/standins-2/reviewkit/Node.java
@@ -7,8 +7,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -22,6 +24,8 @@
   private static final int MIN_PORT = 12_000;
   private static final int PORT_RANGE = 18_000;
 
+  private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
+
   private final Record record;
   private final Path work;
   private final String name;
@@ -188,12 +192,15 @@
     return process.exitValue();
   }
 
+  /** Returns a port on which no process listens, and that no other node of this case has got. */
   private static int freePort() {
     while (true) {
       int port = MIN_PORT + (int) (Math.random() * PORT_RANGE);
       try (ServerSocket socket =
           new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
-        return socket.getLocalPort();
+        if (GIVEN_PORTS.add(port)) {
+          return socket.getLocalPort();
+        }
       } catch (IOException e) {
         continue;
       }
