--- a/review/standins-2/reviewkit/Backend.java
+++ b/review/standins-2/reviewkit/Backend.java
@@ -152,7 +152,10 @@
 
   /** Returns the body of the next heartbeat, as the backend is now. */
   public String prepareHeartbeat() {
-    return "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"coldRemainingMs\":%d,\"sequence\":%d,\"born\":%d}"
+    return """
+        {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":%d,"state":"ready",\
+        "coldRemainingMs":%d,"sequence":%d,"born":%d}\
+        """
         .formatted(
             service,
             address(),
--- a/review/standins-2/reviewkit/EmptyBodyCase.java
+++ b/review/standins-2/reviewkit/EmptyBodyCase.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.net.SocketTimeoutException;
-import java.util.Map;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
--- a/review/standins-2/reviewkit/Node.java
+++ b/review/standins-2/reviewkit/Node.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -37,7 +38,7 @@
   private final int announcePort = freePort();
   private final int operatorPort = freePort();
   private final int backendPort = freePort();
-  private String service;
+  private final String service;
   private Process process;
 
   /**
@@ -85,13 +86,6 @@
     return backendPort;
   }
 
-  /** Puts settings into place that name another service; the process gets no signal. */
-  public void changeService(String next) {
-    service = next;
-    writeSettings();
-    record.write("node %s settings file now names service %s, no signal is sent", name, next);
-  }
-
   private Path settingsFile() {
     return work.resolve(name + ".json");
   }
@@ -115,8 +109,7 @@
     try {
       Path next = work.resolve(name + ".json.next");
       Files.writeString(next, text);
-      Files.move(
-          next, settingsFile(), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+      Files.move(next, settingsFile(), StandardCopyOption.ATOMIC_MOVE);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
