--- a/review/standins-2/reviewkit/Backend.java
+++ b/review/standins-2/reviewkit/Backend.java
@@ -90,6 +90,10 @@
     return "127.0.0.1:" + server.getAddress().getPort();
   }
 
+  public String service() {
+    return service;
+  }
+
   public Queue<Run> runs() {
     return runs;
   }
@@ -99,25 +103,6 @@
     return arrivals;
   }
 
-  /** Returns the most requests that arrived in one second between two times. */
-  public int mostRunsInOneSecond(long fromNanos, long toNanos) {
-    long[] arrivals =
-        runs.stream()
-            .mapToLong(Run::arrivedNanos)
-            .filter(nanos -> nanos >= fromNanos && nanos < toNanos)
-            .sorted()
-            .toArray();
-    int most = 0;
-    int first = 0;
-    for (int last = 0; last < arrivals.length; last++) {
-      while (arrivals[last] - arrivals[first] >= TimeUnit.SECONDS.toNanos(1)) {
-        first++;
-      }
-      most = Math.max(most, last - first + 1);
-    }
-    return most;
-  }
-
   /** Sends a heartbeat every 1.5 s until the backend leaves. */
   public void startHeartbeats() {
     threads.execute(
@@ -129,6 +114,18 @@
         });
   }
 
+  /** Sends the first heartbeat as it is now, to arrive late, and others every 1.5 s. */
+  public void startWithLateHeartbeat(long delayMillis) {
+    String late = prepareHeartbeat();
+    record.write("this heartbeat is under way for %d ms: %s", delayMillis, late);
+    threads.execute(
+        () -> {
+          Case.sleep(delayMillis);
+          deliver(late);
+          startHeartbeats();
+        });
+  }
+
   /** Turns cold, as a backend may at any moment. */
   public void turnCold(long millis) {
     coldUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
--- a/review/standins-2/reviewkit/Node.java
+++ b/review/standins-2/reviewkit/Node.java
@@ -38,7 +38,7 @@
   private final int announcePort = freePort();
   private final int operatorPort = freePort();
   private final int backendPort = freePort();
-  private final String service;
+  private String service;
   private Process process;
 
   /**
@@ -86,6 +86,13 @@
     return backendPort;
   }
 
+  /** Writes the settings anew, as the platform does when the machine gets another service. */
+  public void changeService(String next) {
+    service = next;
+    writeSettings();
+    record.write("the settings of node %s name service %s", name, next);
+  }
+
   private Path settingsFile() {
     return work.resolve(name + ".json");
   }
--- a/review/standins-2/reviewkit/Store.java
+++ b/review/standins-2/reviewkit/Store.java
@@ -63,13 +63,6 @@
     notifyAll();
   }
 
-  /** Removes a row as the operator does. */
-  public synchronized void remove(String table, String key) {
-    table(table).put(key, new Row(null, ++version));
-    record.write("store operator-remove %s/%s ver=%d", table, key, version);
-    notifyAll();
-  }
-
   /** Returns the text of a row; empty if there is none. */
   public synchronized String value(String table, String key) {
     Row row = table(table).get(key);
