PipelinedRequestTest: close the connection once the request has started

Cause: nonIdempotentRequestBehindClosedConnectionNeverRuns closed its connection right after it had sent, so that its first request never reached the server whose cancellation it awaits. Excluded by the earlier trace: a payment that ran (none did).

Change: it waits for the start of the first request before the close.

--- a/node/src/test/java/org/clementinepost/node/PipelinedRequestTest.java
+++ b/node/src/test/java/org/clementinepost/node/PipelinedRequestTest.java
@@ -236,7 +236,9 @@
 
   @Test
   void nonIdempotentRequestBehindClosedConnectionNeverRuns() throws Exception {
-    send("/near/" + LONG_WORK_MILLIS, "/pay/10").close();
+    try (Socket socket = send("/near/" + LONG_WORK_MILLIS, "/pay/10")) {
+      RowStoreNodes.await(() -> events.contains("start /near/" + LONG_WORK_MILLIS));
+    }
     RowStoreNodes.await(() -> events.contains("cancel /near/" + LONG_WORK_MILLIS));
     assertThat(events).doesNotContain("start /pay/10");
   }
