Withdraw requests that have not started, fail bodies that break off

Cause: a request that isn't idempotent was left to its end from the moment the exchange service had it, though nothing of it had reached a server. The HTTP library completes the discarded body of a closed connection without an error, and the host of a cancelled stream left the body open.

Excluded: buffered bodies (not seen to be cut; they have the check too).

Change: an exchange is pending, started or withdrawn (ExchangeStart); the head is written only once it is started. RequestBody fails with 1007 unless the end was received and every byte was read (RequestGuard). A cancelled stream fails its request body at the host; one that is cancelled while its peer is dialed isn't opened. The caller's failure isn't held against the server.

--- a/api/src/main/java/org/clementinepost/api/ResultCode.java
+++ b/api/src/main/java/org/clementinepost/api/ResultCode.java
@@ -19,6 +19,8 @@
   DEADLINE_PASSED(1005, 503, 10, RunState.NOT_RUN, "The deadline passed before the request ran"),
   TRANSFER_CODING_UNKNOWN(
       1006, 501, 10, RunState.NOT_RUN, "The body's transfer coding is not known"),
+  REQUEST_BROKEN_OFF(
+      1007, 400, 10, RunState.UNKNOWN, "The caller's connection ended before the request did"),
   KEY_MISSING(1101, 401, 11, RunState.NOT_RUN, "The route asks for a key and none came"),
   KEY_UNKNOWN(1102, 401, 11, RunState.NOT_RUN, "The key is unknown or withdrawn"),
   CUSTOMER_NOT_ALLOWED(1103, 403, 11, RunState.NOT_RUN, "The route is closed to this customer"),
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -96,6 +96,7 @@
             .doOnChannelInit(
                 (observer, channel, remote) -> {
                   WritabilityGate.attach(channel);
+                  RequestGuard.attach(channel);
                   PipelinedRequests.attach(channel, earlyProcessing);
                   CallerConnection.attach(
                       channel,
@@ -120,7 +121,7 @@
         maxConcurrent,
         this::readIfWithoutBody,
         pipeline::authorize,
-        head -> pipeline.process(head, new RequestBody(Flux.empty(), RequestHead.NO_BODY)),
+        head -> pipeline.process(head, RequestBody.empty()),
         () -> keepAliveDisabled,
         BufferBudget.PROCESS,
         name -> metrics.send(new MetricsMessage.IncrementCounter(name)),
@@ -174,7 +175,10 @@
       return writeResponse(id, request, response, Either.left(problem.get()), startedNanos);
     }
     RequestBody body =
-        new RequestBody(request.receive().asByteArray().map(Chunk::wrap), limits.maxBodyBytes());
+        new RequestBody(
+            request.receive().asByteArray().map(Chunk::wrap),
+            RequestGuard.endOf(request)::isReachedAfter,
+            limits.maxBodyBytes());
     return body.checkLength(incoming.bodyBytes())
         .map(failure -> Mono.just(Either.<Failure, BackendResponse>left(failure)))
         .getOrElse(() -> run(request, incoming, body))
@@ -195,11 +199,8 @@
     if (!buffered) {
       return runUnbuffered(request, incoming, body);
     }
-    return request
-        .receive()
-        .aggregate()
-        .asByteArray()
-        .flatMap(content -> pipeline.run(incoming, RequestBody.replayable(Chunk.wrap(content))))
+    return body.buffer()
+        .flatMap(whole -> pipeline.run(incoming, whole))
         .doFinally(signal -> BufferBudget.PROCESS.release(bytes));
   }
 
--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -99,9 +99,9 @@
   }
 
   Mono<Either<Failure, BackendResponse>> send(
-      Admission admission, RequestHead head, Flux<Chunk> body) {
+      Admission admission, RequestHead head, Flux<Chunk> body, ExchangeStart start) {
     long deadlineMillis = scheduler.now(TimeUnit.MILLISECONDS) + head.timeoutMillis();
-    return prepareRequest(admission, head, body)
+    return prepareRequest(admission, head, body, start)
         .responseConnection(
             (response, connection) ->
                 toResponse(admission, head, deadlineMillis, response, connection))
@@ -110,9 +110,10 @@
   }
 
   private HttpClient.ResponseReceiver<?> prepareRequest(
-      Admission admission, RequestHead head, Flux<Chunk> body) {
+      Admission admission, RequestHead head, Flux<Chunk> body, ExchangeStart start) {
     HttpClient.RequestSender sender =
         client
+            .doOnRequest((request, connection) -> startOrClose(start, connection))
             .headers(headers -> setHeaders(headers, admission, head))
             .request(HttpMethod.valueOf(head.method()))
             .uri("http://" + admission.address() + head.uri());
@@ -124,6 +125,13 @@
             outbound.sendByteArray(WritabilityGate.pace(body, outbound).map(Chunk::bytes)));
   }
 
+  /** Closes the connection before the head of a withdrawn request is written to it. */
+  private static void startOrClose(ExchangeStart start, Connection connection) {
+    if (!start.tryStart()) {
+      connection.dispose();
+    }
+  }
+
   private void setHeaders(HttpHeaders headers, Admission admission, RequestHead head) {
     head.headers().forEach(field -> headers.add(field.name(), field.value()));
     headers.set(dialect.requestIdHeader(), head.requestId().value());
@@ -285,6 +293,10 @@
 
   private static Failure toFailure(Admission admission, Throwable error) {
     BackendServerId server = admission.server();
+    Failure bodyFailure = BodyFailedException.failureOf(error);
+    if (bodyFailure.code() == ResultCode.REQUEST_BROKEN_OFF) {
+      return bodyFailure;
+    }
     if (isConnectFailure(error)) {
       return Failure.of(ResultCode.BACKEND_CONNECT_FAILED, server + ": " + error.getMessage());
     }
--- a/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
@@ -62,9 +62,11 @@
     ExchangeMessage.Send send = (ExchangeMessage.Send) message;
     Mono<Either<Failure, Admission>> admitted = requestAdmission(send);
     long requestedNanos = context.clock().nowNanos();
+    ExchangeStart start = new ExchangeStart();
     Mono<Either<Failure, BackendResponse>> result =
-        Results.then(admitted, admission -> exchange(send, admission, requestedNanos));
-    cancelIfIdempotent(send, result)
+        Results.then(admitted, admission -> exchange(send, admission, requestedNanos, start));
+    result
+        .takeUntilOther(cancellation(send, start))
         .subscribe(
             send.reply()::send,
             error -> {
@@ -98,16 +100,25 @@
   }
 
   /**
-   * Makes idempotent requests cancellable; others run to their end even if the caller has
-   * disconnected.
+   * Returns a signal that ends the exchange when the caller has left. A request that is not
+   * idempotent runs to its end once it has been started.
    */
-  private static Mono<Either<Failure, BackendResponse>> cancelIfIdempotent(
-      ExchangeMessage.Send send, Mono<Either<Failure, BackendResponse>> result) {
-    return send.head().idempotent() ? result.takeUntilOther(send.cancelled()) : result;
+  private static Mono<Void> cancellation(ExchangeMessage.Send send, ExchangeStart start) {
+    return send.cancelled()
+        .then(
+            Mono.defer(
+                () -> {
+                  if (!start.tryWithdraw()) {
+                    return send.head().idempotent() ? Mono.empty() : Mono.never();
+                  }
+                  logger.atInfo().log(
+                      "event=exchange-withdrawn request=%s", send.head().requestId());
+                  return Mono.empty();
+                }));
   }
 
   private Mono<Either<Failure, BackendResponse>> exchange(
-      ExchangeMessage.Send send, Admission admission, long requestedNanos) {
+      ExchangeMessage.Send send, Admission admission, long requestedNanos, ExchangeStart start) {
     RequestEndReporter endReporter = new RequestEndReporter(host, admission, context.clock());
     long waitedMillis = TimeUnit.NANOSECONDS.toMillis(context.clock().nowNanos() - requestedNanos);
     RequestHead head =
@@ -118,7 +129,7 @@
       return Mono.just(Either.left(timeout));
     }
     return client
-        .send(admission, head, send.body())
+        .send(admission, head, send.body(), start)
         .map(
             result ->
                 result.map(
--- a/node/src/main/java/org/clementinepost/node/exchange/RequestEndReporter.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/RequestEndReporter.java
@@ -60,8 +60,10 @@
         : Option.some(failure);
   }
 
+  /** Reports a failure; one that the caller has caused says nothing about the backend server. */
   void reportFailure(Failure failure) {
-    report(Option.some(failure), 0, elapsedMicros());
+    boolean ofCaller = failure.code() == ResultCode.REQUEST_BROKEN_OFF;
+    report(Option.when(!ofCaller, failure), 0, elapsedMicros());
   }
 
   private void report(Option<Failure> failure, int status, long serverMicros) {
--- a/node/src/main/java/org/clementinepost/node/peer/InboundStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/InboundStreams.java
@@ -10,6 +10,7 @@
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.NodeId;
 import org.clementinepost.api.RequestHead;
+import org.clementinepost.api.ResultCode;
 import org.clementinepost.api.peer.PeerMessage;
 import org.clementinepost.api.peer.StreamMessage;
 import org.clementinepost.kernel.Address;
@@ -114,7 +115,7 @@
     }
     if (message instanceof StreamMessage.Cancel) {
       streams = streams.remove(message.streamId());
-      release(stream);
+      breakOff(stream, Failure.of(ResultCode.REQUEST_BROKEN_OFF, "cancelled by the ingress node"));
     }
   }
 
@@ -173,9 +174,11 @@
     streams = streams.remove(streamId);
   }
 
-  private static void release(InboundStream stream) {
+  /** Cancels the exchange of a stream, and fails a request body that is not complete. */
+  private static void breakOff(InboundStream stream, Failure failure) {
     stream.exchange().dispose();
     stream.responseSender().forEach(BodySender::cancelAndRelease);
+    stream.requestReceiver().forEach(receiver -> receiver.fail(failure));
   }
 
   @Override
@@ -191,10 +194,6 @@
   public void failAll(Failure failure) {
     Map<Long, InboundStream> failed = streams;
     streams = HashMap.empty();
-    failed.values().forEach(stream -> release(stream));
-    failed
-        .values()
-        .flatMap(InboundStream::requestReceiver)
-        .forEach(receiver -> receiver.fail(failure));
+    failed.values().forEach(stream -> breakOff(stream, failure));
   }
 }
--- a/node/src/main/java/org/clementinepost/node/peer/OutboundStreams.java
+++ b/node/src/main/java/org/clementinepost/node/peer/OutboundStreams.java
@@ -4,6 +4,7 @@
 import io.vavr.collection.Map;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.clementinepost.api.Failure;
@@ -56,7 +57,12 @@
     this.clock = clock;
   }
 
+  /** Opens a stream, unless its request has been cancelled while the message waited. */
   private void open(ConnectionMessage.Open open) {
+    CompletableFuture<Void> cancelled = open.cancelled().toFuture();
+    if (cancelled.isDone()) {
+      return;
+    }
     long streamId = nextStreamId++;
     BodySender sender = new BodySender(streamId, open.body(), self);
     long bufferMillis = open.head().timeoutMillis() - UNBUFFERED_MILLIS;
@@ -69,11 +75,8 @@
             open.reply());
     streams = streams.put(streamId, stream);
     outgoing.accept(new StreamMessage.Open(streamId, open.server(), open.head()));
-    open.cancelled()
-        .subscribe(
-            ignored -> {},
-            error -> {},
-            () -> self.send(new ConnectionMessage.ReaderCancelled(streamId)));
+    CompletableFuture<Void> unused =
+        cancelled.thenRun(() -> self.send(new ConnectionMessage.ReaderCancelled(streamId)));
   }
 
   @Override
--- a/node/src/test/java/org/clementinepost/node/edge/RequestPipelineTest.java
+++ b/node/src/test/java/org/clementinepost/node/edge/RequestPipelineTest.java
@@ -85,7 +85,7 @@
             Option.none(),
             Option.none(),
             RequestHead.NO_BODY);
-    pipeline.run(request, new RequestBody(Flux.empty(), 1)).subscribe(results::add);
+    pipeline.run(request, RequestBody.empty()).subscribe(results::add);
     scheduler.advanceTimeBy(Duration.ofMillis(2 * TIMEOUT_MILLIS));
   }
 
