Handle a request after the library has passed on what has arrived of it

Cause: the HTTP library calls a request's handler before it passes on the request's end, and stops reading the connection if the response has been written by then. The result of a request that was started early is at hand. Nothing noticed that such a connection was closed.

Change: the handler starts in the next turn of the event loop, for all requests. A connection on which nothing happens for the idle timeout is closed while nothing is in flight or its caller doesn't read. Gauges count open, idle and stalled connections.

--- a/node/src/main/java/org/clementinepost/node/edge/EdgeMessage.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeMessage.java
@@ -23,6 +23,9 @@
    */
   record StopAccepting(IntConsumer inFlightListener) implements EdgeMessage {}
 
+  /** Closes connections on which nothing happens, and reports the number of connections. */
+  record CheckConnections() implements EdgeMessage {}
+
   /** A caller's connection was closed after the service stopped accepting requests. */
   record CallerDisconnected() implements EdgeMessage {}
 }
--- a/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
+++ b/node/src/main/java/org/clementinepost/node/edge/EdgeService.java
@@ -9,13 +9,16 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntConsumer;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
@@ -32,6 +35,7 @@
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
 import org.clementinepost.kernel.TaskContext;
+import org.clementinepost.node.edge.RequestGuard.RequestEnd;
 import org.clementinepost.node.exchange.BackendResponse;
 import org.clementinepost.node.exchange.BufferBudget;
 import org.clementinepost.node.exchange.WritabilityGate;
@@ -56,6 +60,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int ID_RADIX = 36;
   private static final int FIRST_ERROR_STATUS = 400;
+  private static final long CONNECTION_CHECK_MILLIS = 1_000;
   private static final Set<HttpMethod> METHODS_WITHOUT_BODY =
       Set.of(HttpMethod.GET, HttpMethod.HEAD);
 
@@ -100,11 +105,17 @@
                   PipelinedRequests.attach(channel, earlyProcessing);
                   CallerConnection.attach(
                       channel,
+                      limits.idleTimeoutMillis() / CONNECTION_CHECK_MILLIS,
                       () -> stoppedAccepting,
                       () -> context.self().send(new EdgeMessage.CallerDisconnected()));
                 })
             .handle(this::handle)
             .bindNow();
+    context.sendEvery(
+        NAME.text(),
+        CONNECTION_CHECK_MILLIS,
+        CONNECTION_CHECK_MILLIS,
+        new EdgeMessage.CheckConnections());
   }
 
   /** Returns the definition of the service. */
@@ -144,12 +155,31 @@
     return requestReader.read(id, method, uri, headers, ThreadLocalRandom.current().nextDouble());
   }
 
+  /**
+   * Handles a request after the HTTP library has passed on what has arrived of it.
+   *
+   * <p>The library calls the handler before it passes on the end of a request. It doesn't read the
+   * connection any more if the response has been written by then.
+   */
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    RequestEnd requestEnd = RequestGuard.endOf(request);
+    return Mono.<Void>create(sink -> eventLoopOf(request).execute(sink::success))
+        .then(Mono.defer(() -> Mono.from(handleArrived(request, response, requestEnd))));
+  }
+
+  private static Executor eventLoopOf(HttpServerRequest request) {
+    AtomicReference<Executor> eventLoop = new AtomicReference<>();
+    request.withConnection(connection -> eventLoop.set(connection.channel().eventLoop()));
+    return eventLoop.get();
+  }
+
+  private Publisher<Void> handleArrived(
+      HttpServerRequest request, HttpServerResponse response, RequestEnd requestEnd) {
     Option<StartedRequest> started =
         PipelinedRequests.of(request)
             .flatMap(pipelined -> pipelined.take(request.requestHeaders()));
     if (started.isEmpty()) {
-      return handleFromStart(request, response);
+      return handleFromStart(request, response, requestEnd);
     }
     return started
         .get()
@@ -160,7 +190,8 @@
                     started.get().id(), request, response, result, started.get().startedNanos()));
   }
 
-  private Publisher<Void> handleFromStart(HttpServerRequest request, HttpServerResponse response) {
+  private Publisher<Void> handleFromStart(
+      HttpServerRequest request, HttpServerResponse response, RequestEnd requestEnd) {
     long startedNanos = clock.nowNanos();
     IncomingRequest incoming = read(request.method(), request.uri(), request.requestHeaders());
     RequestId id = incoming.requestId();
@@ -177,7 +208,7 @@
     RequestBody body =
         new RequestBody(
             request.receive().asByteArray().map(Chunk::wrap),
-            RequestGuard.endOf(request)::isReachedAfter,
+            requestEnd::isReachedAfter,
             limits.maxBodyBytes());
     return body.checkLength(incoming.bodyBytes())
         .map(failure -> Mono.just(Either.<Failure, BackendResponse>left(failure)))
@@ -281,6 +312,10 @@
       stopAccepting(stop);
       return;
     }
+    if (message instanceof EdgeMessage.CheckConnections) {
+      checkConnections();
+      return;
+    }
     if (message instanceof EdgeMessage.CallerDisconnected) {
       reportInFlight();
       return;
@@ -297,6 +332,18 @@
     reportInFlight();
   }
 
+  private void checkConnections() {
+    Vector<CallerConnection> open =
+        Vector.ofAll(connections).flatMap(channel -> CallerConnection.of(channel));
+    metrics.send(new MetricsMessage.SetGauge("edge.connections.open", open.size()));
+    metrics.send(
+        new MetricsMessage.SetGauge("edge.connections.idle", open.count(CallerConnection::isIdle)));
+    metrics.send(
+        new MetricsMessage.SetGauge(
+            "edge.connections.stalled", open.count(CallerConnection::isStalled)));
+    connections.forEach(CallerConnection::check);
+  }
+
   /** Idle connections have been closed, so each open connection waits for a response. */
   private void reportInFlight() {
     inFlightListener.accept(connections.size());
--- a/node/src/test/java/org/clementinepost/node/edge/CallerConnectionTest.java
+++ b/node/src/test/java/org/clementinepost/node/edge/CallerConnectionTest.java
@@ -18,6 +18,8 @@
 import reactor.netty.NettyPipeline;
 
 final class CallerConnectionTest {
+  private static final int MAX_UNCHANGED_CHECKS = 3;
+
   private final AtomicBoolean stoppedAccepting = new AtomicBoolean();
   private final AtomicInteger disconnects = new AtomicInteger();
   private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -25,7 +27,8 @@
   @BeforeEach
   void attach() {
     channel.pipeline().addLast(NettyPipeline.HttpCodec, new ChannelDuplexHandler());
-    CallerConnection.attach(channel, stoppedAccepting::get, disconnects::incrementAndGet);
+    CallerConnection.attach(
+        channel, MAX_UNCHANGED_CHECKS, stoppedAccepting::get, disconnects::incrementAndGet);
   }
 
   private void receiveRequest() {
@@ -100,4 +103,43 @@
     assertThat(channel.isOpen()).isTrue();
     assertThat(disconnects).hasValue(0);
   }
+
+  private void check(int times) {
+    for (int i = 0; i < times; i++) {
+      CallerConnection.check(channel);
+      channel.runPendingTasks();
+    }
+  }
+
+  /** Guards against sockets that stay open after their callers have closed them unnoticed. */
+  @Test
+  void closesConnectionOnWhichNothingHappens() {
+    receiveRequest();
+    channel.writeOutbound(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+    check(1 + MAX_UNCHANGED_CHECKS);
+    assertThat(channel.isOpen()).isTrue();
+
+    check(1);
+
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  @Test
+  void requestsKeepConnectionOpen() {
+    for (int i = 0; i < 3; i++) {
+      receiveRequest();
+      channel.writeOutbound(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+      check(MAX_UNCHANGED_CHECKS);
+    }
+    assertThat(channel.isOpen()).isTrue();
+  }
+
+  @Test
+  void keepsConnectionOpenWhileRequestWaitsForItsResponse() {
+    receiveRequest();
+    check(10 * MAX_UNCHANGED_CHECKS);
+    assertThat(channel.isOpen()).isTrue();
+    assertThat(CallerConnection.of(channel).exists(CallerConnection::isStalled)).isTrue();
+  }
 }
