Record the departure of a server before it is acknowledged

Cause: what a process knew of a departure lived in its memory alone. In the running process a draining server was remembered only until its announcements expired.

Excluded: the check of the server at the start of a node, which comes before every announcement and is covered by the change.

Change: the service "departures" writes the last void position of a leaving server into the node's row of the table departures, and only then is the announcement acknowledged (503 while the store can't be written). A node that starts reads its row and drops a server that it has taken by a void announcement. A draining server is remembered like one that has left.

--- a/node/src/main/java/org/clementinepost/node/PlatformAdapter.java
+++ b/node/src/main/java/org/clementinepost/node/PlatformAdapter.java
@@ -6,6 +6,7 @@
 import org.clementinepost.api.http.HttpDialect;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.node.announce.AnnounceService;
+import org.clementinepost.node.announce.DepartureService;
 import org.clementinepost.node.configuration.ChangeFeedConfigurationService;
 import org.clementinepost.node.configuration.ConfigurationService;
 import org.clementinepost.node.directory.DirectoryService;
@@ -48,6 +49,7 @@
                 ConfigurationService.definition(),
                 MembershipService.definition(self),
                 DirectoryService.definition(self),
+                DepartureService.withoutStore(),
                 QuotaService.unlimited()),
         HttpDialect.DEFAULT,
         AnnounceService.DEFAULT_PROTOCOL);
@@ -66,6 +68,7 @@
                 ChangeFeedConfigurationService.definition(
                     registry -> new OperatorTable(new RelayedRowStore(store, registry))),
                 TableDirectoryService.definition(self, store),
+                DepartureService.definition(self.node(), store),
                 QuotaService.definition(self, store, tolerance)),
         PlatformDialect.DIALECT,
         HeartbeatFormat.PROTOCOL);
--- a/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
+++ b/node/src/main/java/org/clementinepost/node/announce/AnnounceService.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
 import org.clementinepost.api.Chunk;
@@ -9,6 +10,7 @@
 import org.clementinepost.api.NetworkAddress;
 import org.clementinepost.api.ResultCode;
 import org.clementinepost.kernel.Address;
+import org.clementinepost.kernel.Ask;
 import org.clementinepost.kernel.Behaviour;
 import org.clementinepost.kernel.ServiceDefinition;
 import org.clementinepost.kernel.ServiceName;
@@ -18,8 +20,10 @@
 import org.clementinepost.node.host.HostService;
 import org.clementinepost.policy.host.Announcement;
 import org.clementinepost.policy.host.AnnouncementProtocol;
+import org.clementinepost.policy.host.Departures;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -41,19 +45,26 @@
   /** The longest pause of a backend server in the middle of an announcement. */
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(5);
 
+  /** A backend server waits about a second for the acknowledgement of an announcement. */
+  private static final Duration RECORD_TIMEOUT = Duration.ofMillis(800);
+
   /** Clementinepost's own announcement protocol. */
   public static final AnnouncementProtocol DEFAULT_PROTOCOL =
       new AnnouncementProtocol(
           AnnouncementReader::read, DEFAULT_ACKNOWLEDGEMENT_STATUS, "", Option.none());
 
   private final AnnouncementProtocol protocol;
+  private final Scheduler scheduler;
   private final Address<HostMessage> host;
+  private final Address<DepartureMessage> departures;
   private final Address<StartupHealthCheckMessage> startupHealthCheck;
   private final DisposableServer server;
 
   private AnnounceService(
       TaskContext<AnnounceMessage> context, NetworkAddress address, AnnouncementProtocol protocol) {
     this.protocol = protocol;
+    this.scheduler = context.scheduler();
+    this.departures = context.registry().find(DepartureService.NAME);
     this.host = context.registry().find(HostService.NAME);
     this.startupHealthCheck = context.registry().find(StartupHealthCheckService.NAME);
     this.server =
@@ -114,6 +125,33 @@
       return refuse(response, Failure.of(ResultCode.NODE_OVERLOADED));
     }
     startupHealthCheck.send(new StartupHealthCheckMessage.Announced());
+    return recordDeparture(announcement)
+        .flatMap(
+            result ->
+                result.fold(
+                    failure -> refuse(response, failure), recorded -> acknowledge(response)));
+  }
+
+  /**
+   * Records that a backend server leaves. Its announcement is acknowledged only when a restart of
+   * this node can't bring the server back.
+   */
+  private Mono<Either<Failure, Departures>> recordDeparture(Announcement announcement) {
+    return announcement
+        .departureOrder()
+        .map(
+            order ->
+                Ask.<DepartureMessage, Departures>of(
+                        departures,
+                        reply -> new DepartureMessage.Record(announcement.server(), order, reply))
+                    .timeout(
+                        RECORD_TIMEOUT,
+                        Mono.just(Either.left(Failure.of(ResultCode.PLATFORM_UNAVAILABLE))),
+                        scheduler))
+        .getOrElse(Mono.just(Either.right(Departures.none())));
+  }
+
+  private Mono<Void> acknowledge(HttpServerResponse response) {
     return response
         .status(protocol.acknowledgementStatus())
         .header(HttpHeaderNames.CONTENT_TYPE, JSON)
--- a/node/src/main/java/org/clementinepost/node/host/HostMessage.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostMessage.java
@@ -12,12 +12,16 @@
 import org.clementinepost.kernel.Reply;
 import org.clementinepost.policy.host.Admission;
 import org.clementinepost.policy.host.Announcement;
+import org.clementinepost.policy.host.Departures;
 
 /** A message to {@link HostService}. */
 public sealed interface HostMessage {
   /** A backend server has announced itself. */
   record Announced(Announcement announcement) implements HostMessage {}
 
+  /** The departures before a restart of the node have been read. */
+  record DeparturesRestored(Departures departures) implements HostMessage {}
+
   /** The startup health check found a backend server that accepts requests. */
   record Discovered(Announcement announcement) implements HostMessage {}
 
--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -81,6 +81,9 @@
     if (message instanceof HostMessage.Announced announced) {
       return new HostEvent.Announced(announced.announcement(), clock.nowNanos());
     }
+    if (message instanceof HostMessage.DeparturesRestored restored) {
+      return new HostEvent.DeparturesRestored(restored.departures());
+    }
     if (message instanceof HostMessage.Discovered discovered) {
       return new HostEvent.Discovered(discovered.announcement(), clock.nowNanos());
     }
--- a/node/src/test/java/org/clementinepost/node/RowStoreNodes.java
+++ b/node/src/test/java/org/clementinepost/node/RowStoreNodes.java
@@ -23,6 +23,7 @@
   static final Duration RETRY_PERIOD = Duration.ofMillis(50);
 
   private static final EmergencyAllowance ALLOWANCE = new EmergencyAllowance(0.1, 20, 5);
+  private static final long FIRST_INCARNATION = 1;
   private static final long KEY_WITHDRAWAL_MILLIS = 5_000;
   private static final long GRACE_MILLIS = 30_000;
   private static final int IDLE_TIMEOUT_MILLIS = 20_000;
@@ -36,6 +37,15 @@
   }
 
   static Node start(RowStoreStandIn store, String name, String localService, LoadSettings load) {
+    return start(store, name, localService, load, FIRST_INCARNATION);
+  }
+
+  static Node start(
+      RowStoreStandIn store,
+      String name,
+      String localService,
+      LoadSettings load,
+      long incarnation) {
     NetworkAddress anyPort = new NetworkAddress("127.0.0.1", 0);
     NodeSettings settings =
         new NodeSettings(
@@ -60,7 +70,9 @@
             GRACE_MILLIS,
             load);
     return Node.start(
-        settings, PlatformAdapter.rowStore(new StoreClient(store.address()), ALLOWANCE), 1);
+        settings,
+        PlatformAdapter.rowStore(new StoreClient(store.address()), ALLOWANCE),
+        incarnation);
   }
 
   static NetworkAddress announceAddress(Node node) {
--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -66,7 +66,7 @@
     }
     if (hosted.isEmpty()) {
       ResultCode code =
-          state.departed().containsKey(server)
+          state.departed().contains(server)
               ? ResultCode.BACKEND_SERVER_DRAINING
               : ResultCode.BACKEND_SERVER_UNKNOWN;
       return Either.left(Failure.of(code, server.value()));
--- a/policy/src/main/java/org/clementinepost/policy/host/Announcement.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/Announcement.java
@@ -47,6 +47,18 @@
         server, new ServiceId(""), NO_ADDRESS, 1, 1, State.GONE, 0, 0, 0, order);
   }
 
+  /**
+   * Returns the position up to which announcements of the server are void after this one; none if
+   * it isn't leaving, or doesn't tell its position.
+   */
+  public Option<AnnouncementOrder> departureOrder() {
+    return switch (state) {
+      case SERVING -> Option.none();
+      case DRAINING -> order;
+      case GONE -> order.map(AnnouncementOrder::latestOfSameStart);
+    };
+  }
+
   /** Whether a backend server accepts new requests. */
   public enum State {
     SERVING,
--- a/policy/src/main/java/org/clementinepost/policy/host/AnnouncementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AnnouncementPolicy.java
@@ -14,12 +14,6 @@
 final class AnnouncementPolicy {
   private static final long ANNOUNCEMENT_TTL_NANOS = TimeUnit.SECONDS.toNanos(6);
 
-  /**
-   * The maximum number of departed backend servers to remember, so that a late announcement does
-   * not add them again.
-   */
-  private static final int MAX_DEPARTED = 64;
-
   private AnnouncementPolicy() {}
 
   static HostState onAnnouncement(HostState state, HostEvent.Announced announced) {
@@ -39,14 +33,36 @@
             .filter(server -> isSameStart(server.announcement(), announcement))
             .map(server -> server.withAnnouncement(announcement, announced.nowNanos()))
             .getOrElse(() -> HostedServer.of(announcement, announced.nowNanos()));
-    return state.withServers(others).withServer(next);
+    HostState announcedState = state.withServers(others).withServer(next);
+    return announcement
+        .departureOrder()
+        .map(
+            order ->
+                announcedState.withDeparted(state.departed().with(announcement.server(), order)))
+        .getOrElse(announcedState);
+  }
+
+  /**
+   * Adds the departures before a restart; a server that serves by a void announcement is removed.
+   */
+  static HostState onDeparturesRestored(HostState state, Departures restored) {
+    Departures departed = state.departed().withAll(restored);
+    return state
+        .withDeparted(departed)
+        .withServers(state.servers().filterValues(server -> !isVoid(server, departed)));
+  }
+
+  private static boolean isVoid(HostedServer server, Departures departed) {
+    Announcement known = server.announcement();
+    return known.state() == Announcement.State.SERVING
+        && known.order().exists(order -> departed.covers(known.server(), order));
   }
 
   /** Adds a backend server that was discovered at node startup, unless one has announced itself. */
   static HostState onDiscovery(HostState state, HostEvent.Discovered discovered) {
     Announcement announcement = discovered.announcement();
     boolean alreadyAnnounced =
-        state.servers().nonEmpty() || state.departed().containsKey(announcement.server());
+        state.servers().nonEmpty() || state.departed().contains(announcement.server());
     return alreadyAnnounced
         ? state
         : state.withServer(HostedServer.of(announcement, discovered.nowNanos()));
@@ -57,9 +73,7 @@
       return false;
     }
     AnnouncementOrder order = announcement.order().get();
-    boolean afterDeparture =
-        state.departed().get(announcement.server()).exists(last -> order.compareTo(last) <= 0);
-    return afterDeparture
+    return state.departed().covers(announcement.server(), order)
         || state.servers().values().exists(server -> isSuperseded(order, server, announcement));
   }
 
@@ -106,11 +120,7 @@
     if (last.isEmpty()) {
       return without;
     }
-    Map<BackendServerId, AnnouncementOrder> remembered =
-        state.departed().size() < MAX_DEPARTED
-            ? state.departed()
-            : state.departed().toVector().sortBy(entry -> entry._2).tail().toMap(entry -> entry);
-    return without.withDeparted(remembered.put(id, last.get().latestOfSameStart()));
+    return without.withDeparted(state.departed().with(id, last.get().latestOfSameStart()));
   }
 
   static HostState withoutExpired(HostState state, long nowNanos) {
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEvent.java
@@ -17,6 +17,9 @@
   /** A backend server has announced itself. */
   record Announced(Announcement announcement, long nowNanos) implements HostEvent {}
 
+  /** The departures before a restart of the node have been read. */
+  record DeparturesRestored(Departures departures) implements HostEvent {}
+
   /** The startup health check found a backend server that accepts requests. */
   record Discovered(Announcement announcement, long nowNanos) implements HostEvent {}
 
--- a/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
@@ -59,6 +59,10 @@
       HostState next = AnnouncementPolicy.onAnnouncement(state, announced);
       return publishIfChanged(state, admissionPolicy.processQueue(next, announced.nowNanos()));
     }
+    if (event instanceof HostEvent.DeparturesRestored restored) {
+      return publishIfChanged(
+          state, Step.to(AnnouncementPolicy.onDeparturesRestored(state, restored.departures())));
+    }
     if (event instanceof HostEvent.Discovered discovered) {
       return publishIfChanged(state, Step.to(AnnouncementPolicy.onDiscovery(state, discovered)));
     }
--- a/policy/src/main/java/org/clementinepost/policy/host/HostState.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostState.java
@@ -12,8 +12,7 @@
  * The state of a host: its backend servers, their requests in flight and the waiting requests.
  *
  * @param servers the backend servers that have announced themselves or were discovered
- * @param departed the backend servers that have left; announcements up to the given position are
- *     ignored
+ * @param departed the backend servers that are leaving or have left
  * @param admissions the requests in flight, by the id of the admission
  * @param nextAdmissionId the id of the next admission
  * @param waiting the requests that wait for a slot, those of each server in the planned order
@@ -24,7 +23,7 @@
  */
 public record HostState(
     Map<BackendServerId, HostedServer> servers,
-    Map<BackendServerId, AnnouncementOrder> departed,
+    Departures departed,
     Map<Long, AdmittedRequest> admissions,
     long nextAdmissionId,
     Vector<WaitingRequest> waiting,
@@ -38,7 +37,7 @@
   public static HostState empty() {
     return new HostState(
         HashMap.empty(),
-        HashMap.empty(),
+        Departures.none(),
         HashMap.empty(),
         1,
         Vector.empty(),
@@ -55,7 +54,7 @@
     return toBuilder().servers(next).build();
   }
 
-  HostState withDeparted(Map<BackendServerId, AnnouncementOrder> next) {
+  HostState withDeparted(Departures next) {
     return toBuilder().departed(next).build();
   }
 
@@ -149,7 +148,7 @@
   /** Builds a copy with other values. */
   private static final class Builder {
     private Map<BackendServerId, HostedServer> servers;
-    private Map<BackendServerId, AnnouncementOrder> departed;
+    private Departures departed;
     private Map<Long, AdmittedRequest> admissions;
     private long nextAdmissionId;
     private Vector<WaitingRequest> waiting;
@@ -173,7 +172,7 @@
       return this;
     }
 
-    Builder departed(Map<BackendServerId, AnnouncementOrder> next) {
+    Builder departed(Departures next) {
       departed = next;
       return this;
     }
