--- a/node/src/test/java/org/clementinepost/node/exchange/RepeatedResponseTest.java
+++ b/node/src/test/java/org/clementinepost/node/exchange/RepeatedResponseTest.java
@@ -7,6 +7,7 @@
 import org.clementinepost.platform.PlatformDialect;
 import org.clementinepost.testing.backend.RawServerStandIn.RawResponse;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -76,6 +77,7 @@
   }
 
   @Test
+  @Tag("known-red")
   void refusalsOfDifferentRequestsAreBelievedOnOneConnection() {
     serve(PlatformDialect.DIALECT, refusal("a"), refusal("b"), success("c", "good"));
 
