Log and measure how long requests hold their slots, and what hosts offered

A lost download of RTI grown could not be explained by the log: nothing told what fills the slots of the sound servers, how much time a request had left when it was given to a failing server, or what the chosen host had offered.

The line slot-released and the durations host.slot.held and host.slot.after-run tell by kind how long a slot was held and how much of that was after the run. Lines of admissions have the admission mode, the time left and whether the host suspects the server; lines of placements have the offer.

No decision changes.

--- a/kernel/src/main/java/org/clementinepost/kernel/logging/JsonLinesHandler.java
+++ b/kernel/src/main/java/org/clementinepost/kernel/logging/JsonLinesHandler.java
@@ -20,7 +20,7 @@
 
   /** Events that every request logs. */
   private static final Set<String> ROUTINE_EVENTS =
-      Set.of("event=access", "event=placement", "event=admission");
+      Set.of("event=access", "event=placement", "event=admission", "event=slot-released");
 
   private final LogBuffer buffer;
   private final PrintStream out;
--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -24,6 +24,7 @@
 import org.clementinepost.policy.host.QueueDiscipline;
 import org.clementinepost.policy.host.QueueGroup;
 import org.clementinepost.policy.host.QueueRefusal;
+import org.clementinepost.policy.host.RequestKind;
 
 /** Admits requests to the backend servers of this VM: runs {@link HostPolicy} as a task. */
 public final class HostService {
@@ -110,16 +111,7 @@
       Address<DirectoryMessage> directory,
       QueueMetrics metrics) {
     if (effect instanceof HostEffect.AdmissionDecided decided) {
-      logger.atInfo().log(
-          "event=admission request=%s attempt=%d server=%s result=%s waitedMillis=%d group=%s"
-              + " queue=%s",
-          decided.head().requestId(),
-          decided.head().attempt(),
-          decided.server(),
-          decided.result().fold(failure -> failure.code().number(), admission -> 0),
-          TimeUnit.NANOSECONDS.toMillis(decided.waitedNanos()),
-          decided.group().map(QueueGroup::name).getOrElse("NONE"),
-          decided.queueRefusal().map(QueueRefusal::name).getOrElse("NONE"));
+      logDecided(decided);
       metrics.record(decided);
       decided.reply().send(decided.result());
       return;
@@ -128,6 +120,11 @@
       metrics.record(changed);
       return;
     }
+    if (effect instanceof HostEffect.SlotReleased released) {
+      logReleased(released);
+      metrics.record(released);
+      return;
+    }
     if (effect instanceof HostEffect.SuspicionChanged changed) {
       logger.atWarning().log(
           "event=server-health server=%s suspected=%s status=%d code=%d",
@@ -154,6 +151,38 @@
     directory.send(new DirectoryMessage.LocalEndpointsChanged(endpoints(publish.serving(), self)));
   }
 
+  private static void logDecided(HostEffect.AdmissionDecided decided) {
+    logger.atInfo().log(
+        "event=admission request=%s attempt=%d server=%s result=%s waitedMillis=%d group=%s"
+            + " queue=%s mode=%s leftMillis=%d suspected=%b",
+        decided.head().requestId(),
+        decided.head().attempt(),
+        decided.server(),
+        decided.result().fold(failure -> failure.code().number(), admission -> 0),
+        TimeUnit.NANOSECONDS.toMillis(decided.waitedNanos()),
+        decided.group().map(QueueGroup::name).getOrElse("NONE"),
+        decided.queueRefusal().map(QueueRefusal::name).getOrElse("NONE"),
+        decided.head().options().admissionMode(),
+        decided.head().timeoutMillis() - TimeUnit.NANOSECONDS.toMillis(decided.waitedNanos()),
+        decided.toSuspected());
+  }
+
+  private static void logReleased(HostEffect.SlotReleased released) {
+    RequestKind kind = released.request().kind();
+    logger.atInfo().log(
+        "event=slot-released request=%s server=%s idempotent=%b priority=%d targetMillis=%d"
+            + " heldMicros=%d serverMicros=%d status=%d result=%d",
+        released.request().request(),
+        released.request().server(),
+        kind.idempotent(),
+        kind.priority(),
+        kind.targetLatencyMillis(),
+        TimeUnit.NANOSECONDS.toMicros(released.heldNanos()),
+        released.end().serverMicros(),
+        released.end().status(),
+        released.end().failure().map(failure -> failure.code().number()).getOrElse(0));
+  }
+
   private static Vector<Endpoint> endpoints(Vector<Announcement> serving, Member self) {
     return serving.map(
         announcement ->
--- a/node/src/main/java/org/clementinepost/node/host/QueueMetrics.java
+++ b/node/src/main/java/org/clementinepost/node/host/QueueMetrics.java
@@ -37,6 +37,17 @@
     metrics.send(new MetricsMessage.RecordDuration("host.wait", waitedMicros));
   }
 
+  /** Records how long the request held its slot, and for how long after the server's response. */
+  void record(HostEffect.SlotReleased released) {
+    long heldMicros = TimeUnit.NANOSECONDS.toMicros(released.heldNanos());
+    String kind = "priority-" + released.request().kind().priority();
+    metrics.send(new MetricsMessage.RecordDuration("host.slot.held." + kind, heldMicros));
+    metrics.send(
+        new MetricsMessage.RecordDuration(
+            "host.slot.after-run." + kind,
+            Math.max(0, heldMicros - released.end().serverMicros())));
+  }
+
   private void count(String name) {
     metrics.send(new MetricsMessage.IncrementCounter(name));
   }
--- a/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
+++ b/node/src/main/java/org/clementinepost/node/routing/RoutingService.java
@@ -23,6 +23,7 @@
 import org.clementinepost.policy.routing.RoutingEvent;
 import org.clementinepost.policy.routing.RoutingPolicy;
 import org.clementinepost.policy.routing.RoutingState;
+import org.clementinepost.policy.routing.ServerOffer;
 
 /** Chooses backend servers for the requests of this node: runs {@link RoutingPolicy} as a task. */
 public final class RoutingService {
@@ -210,7 +211,8 @@
   private static void logPlacement(RoutingEffect.Placed placed) {
     logger.atInfo().log(
         "event=placement request=%s attempt=%d service=%s server=%s reason=%s known=%d ejected=%d"
-            + " eligible=%d queries=%d replies=%d domainLeft=%b predictedWaitMicros=%d",
+            + " eligible=%d queries=%d replies=%d domainLeft=%b predictedWaitMicros=%d"
+            + " offer=%s",
         placed.head().requestId(),
         placed.head().attempt(),
         placed.head().service(),
@@ -226,6 +228,7 @@
         placed.basis().queries().queries(),
         placed.basis().queries().replies(),
         placed.basis().queries().domainLeft(),
-        placed.basis().queries().predictedWaitMicros());
+        placed.basis().queries().predictedWaitMicros(),
+        placed.basis().queries().offer().map(ServerOffer::name).getOrElse("NONE"));
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmissionPolicy.java
@@ -107,7 +107,7 @@
     return Step.to(
         state.withAdmission(
             server.withAdmission(nowNanos),
-            RequestKind.of(admit.head()),
+            admit.head(),
             queue.charge(state, server, admit.head()),
             nowNanos),
         new HostEffect.AdmissionDecided(
@@ -115,6 +115,7 @@
             admit.head(),
             Either.right(admission),
             nowNanos - admit.nowNanos(),
+            server.health().suspected(),
             group,
             Option.none(),
             admit.reply()));
@@ -131,6 +132,7 @@
         admit.head(),
         Either.left(failure),
         nowNanos - admit.nowNanos(),
+        false,
         group,
         Option.none(),
         admit.reply());
@@ -148,6 +150,7 @@
         admit.head(),
         Either.left(failure),
         nowNanos - admit.nowNanos(),
+        false,
         group,
         Option.some(cause),
         admit.reply());
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
@@ -16,6 +16,7 @@
    * Replies to an admission request with an admission or the reason for the refusal.
    *
    * @param waitedNanos how long the request waited; zero if it did not wait
+   * @param toSuspected whether the request was admitted to a server that the host suspects
    * @param group the group in which it waited; none for a request without a place in a queue, or in
    *     a queue without groups
    * @param queueRefusal why the queue refused the request; none if it did not
@@ -25,6 +26,7 @@
       RequestHead head,
       Either<Failure, Admission> result,
       long waitedNanos,
+      boolean toSuspected,
       Option<QueueGroup> group,
       Option<QueueRefusal> queueRefusal,
       Reply<Either<Failure, Admission>> reply)
@@ -43,6 +45,16 @@
   record SuspicionChanged(BackendServerId server, boolean suspected, HostEvent.RequestEnded cause)
       implements HostEffect {}
 
+  /**
+   * Logs and counts that a request has given its slot back.
+   *
+   * @param request the request
+   * @param heldNanos how long it held the slot
+   * @param end its end
+   */
+  record SlotReleased(AdmittedRequest request, long heldNanos, HostEvent.RequestEnded end)
+      implements HostEffect {}
+
   /** Replies to a load query. */
   record LoadReported(LoadReport report, Reply<LoadReport> reply) implements HostEffect {}
 
--- a/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
@@ -83,14 +83,11 @@
   private Step<HostState, HostEffect> onRequestEnded(
       HostState state, HostEvent.RequestEnded ended) {
     HostState next = state.withRequestEnded(ended);
+    Option<AdmittedRequest> request = state.admissions().get(ended.admissionId());
     Step<HostState, HostEffect> step =
-        reportInFlightIfStopping(admissionPolicy.processQueue(next, ended.nowNanos()));
-    Option<HostedServer> server =
-        state
-            .admissions()
-            .get(ended.admissionId())
-            .map(AdmittedRequest::server)
-            .flatMap(next.servers()::get);
+        reportInFlightIfStopping(admissionPolicy.processQueue(next, ended.nowNanos()))
+            .withAll(request.map(admitted -> slotReleased(admitted, ended)));
+    Option<HostedServer> server = request.map(AdmittedRequest::server).flatMap(next.servers()::get);
     boolean suspectedBefore = server.exists(s -> isSuspected(state, s.announcement().server()));
     boolean suspectedAfter = server.exists(s -> s.health().suspected());
     return suspectedBefore == suspectedAfter
@@ -100,6 +97,10 @@
                 server.get().announcement().server(), suspectedAfter, ended));
   }
 
+  private static HostEffect slotReleased(AdmittedRequest request, HostEvent.RequestEnded ended) {
+    return new HostEffect.SlotReleased(request, ended.nowNanos() - request.admittedNanos(), ended);
+  }
+
   private static boolean isSuspected(HostState state, BackendServerId server) {
     return state.servers().get(server).exists(known -> known.health().suspected());
   }
--- a/policy/src/main/java/org/clementinepost/policy/host/HostState.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostState.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Option;
 import java.util.function.IntConsumer;
 import org.clementinepost.api.BackendServerId;
+import org.clementinepost.api.RequestHead;
 import org.clementinepost.api.config.Snapshot;
 
 /**
@@ -75,14 +76,15 @@
   }
 
   HostState withAdmission(
-      HostedServer server, RequestKind kind, Option<RunCharge> charge, long nowNanos) {
+      HostedServer server, RequestHead head, Option<RunCharge> charge, long nowNanos) {
     BackendServerId id = server.announcement().server();
     HostedServer charged =
         charge.fold(() -> server, c -> server.withShares(server.shares().withAdmission(c)));
+    AdmittedRequest admitted =
+        new AdmittedRequest(id, head.requestId(), RequestKind.of(head), nowNanos, charge);
     return toBuilder()
         .servers(servers.put(id, charged))
-        .admissions(
-            admissions.put(nextAdmissionId, new AdmittedRequest(id, kind, nowNanos, charge)))
+        .admissions(admissions.put(nextAdmissionId, admitted))
         .nextAdmissionId(nextAdmissionId + 1)
         .build();
   }
--- a/policy/src/main/java/org/clementinepost/policy/host/RunCharge.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/RunCharge.java
@@ -11,7 +11,7 @@
  * @param weight the weight of the customer, at least one
  * @param estimateNanos the run time that was charged at the admission
  */
-record RunCharge(int priority, Option<CustomerId> customer, int weight, long estimateNanos) {
+public record RunCharge(int priority, Option<CustomerId> customer, int weight, long estimateNanos) {
   double estimatedCost() {
     return (double) estimateNanos / weight;
   }
--- a/policy/src/main/java/org/clementinepost/policy/routing/QueriedPlacementPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/QueriedPlacementPolicy.java
@@ -232,7 +232,8 @@
                     pending.replies(),
                     chosen.leavesDomain(),
                     chosen.waitMicros(),
-                    chosen.savedMicros()));
+                    chosen.savedMicros(),
+                    Option.some(chosen.offer())));
     LoadReports reports = state.load().reports().withRequestPlaced(chosen.endpoint().server());
     return placement.placeOn(
         state.with(state.load().with(reports)),
--- a/policy/src/main/java/org/clementinepost/policy/routing/QueryBasis.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/QueryBasis.java
@@ -1,5 +1,7 @@
 package org.clementinepost.policy.routing;
 
+import io.vavr.control.Option;
+
 /**
  * What load queries contributed to a placement, for the log and the metrics.
  *
@@ -8,13 +10,19 @@
  * @param domainLeft whether the request goes to another failure domain by the replies
  * @param predictedWaitMicros the wait for a slot that the reply of the chosen host predicts
  * @param savedMicros the time saved by leaving the own failure domain
+ * @param offer what the chosen host offers; none if the choice did not follow from the replies
  */
 public record QueryBasis(
-    int queries, int replies, boolean domainLeft, long predictedWaitMicros, long savedMicros) {
+    int queries,
+    int replies,
+    boolean domainLeft,
+    long predictedWaitMicros,
+    long savedMicros,
+    Option<ServerOffer> offer) {
   /** The basis of a placement without queries. */
-  public static final QueryBasis NONE = new QueryBasis(0, 0, false, 0, 0);
+  public static final QueryBasis NONE = unused(0, 0);
 
   static QueryBasis unused(int queries, int replies) {
-    return new QueryBasis(queries, replies, false, 0, 0);
+    return new QueryBasis(queries, replies, false, 0, 0, Option.none());
   }
 }
--- a/policy/src/main/java/org/clementinepost/policy/routing/ServerChoice.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/ServerChoice.java
@@ -10,7 +10,7 @@
  * @param endpoint the chosen endpoint
  * @param admissionMode how its host should admit the request; none keeps the request's own mode, so
  *     that a failing server refuses it and other servers are asked
- * @param admitsNow whether the host would admit the request at once
+ * @param offer what its host offers
  * @param leavesDomain whether the server is in another failure domain
  * @param waitMicros the predicted wait
  * @param savedMicros the time saved by leaving the own failure domain
@@ -18,7 +18,7 @@
 record ServerChoice(
     Endpoint endpoint,
     Option<AdmissionMode> admissionMode,
-    boolean admitsNow,
+    ServerOffer offer,
     boolean leavesDomain,
     long waitMicros,
     long savedMicros) {}
--- a/policy/src/main/java/org/clementinepost/policy/routing/ServerChoicePolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/routing/ServerChoicePolicy.java
@@ -20,14 +20,6 @@
   /** A backend server and its host's reply. */
   record Answer(Endpoint endpoint, KnownReport known) {}
 
-  private enum Offer {
-    FREE_SLOT,
-    WAIT,
-    UNPROVEN_SERVER,
-    FAILING_SERVER,
-    NOTHING
-  }
-
   /** How many times as long as usual the runs of an idle server may take for it to go first. */
   private static final int MAX_IDLE_RUN_RATIO = 2;
 
@@ -35,7 +27,7 @@
   private static final int MIN_SAVING_DIVISOR = 8;
 
   private record Candidate(
-      Answer answer, Offer offer, ExpectedTime time, DomainCost cost, boolean idle) {
+      Answer answer, ServerOffer offer, ExpectedTime time, DomainCost cost, boolean idle) {
     boolean isInOwnDomain() {
       return answer.known().sameDomain();
     }
@@ -47,8 +39,8 @@
     ServerChoice chosen(long savedMicros) {
       return new ServerChoice(
           answer.endpoint(),
-          Option.when(offer != Offer.FAILING_SERVER, AdmissionMode.WAIT_FOR_SLOT),
-          offer == Offer.FREE_SLOT,
+          Option.when(offer != ServerOffer.FAILING_SERVER, AdmissionMode.WAIT_FOR_SLOT),
+          offer,
           !isInOwnDomain(),
           time.waitMicros(),
           savedMicros);
@@ -65,7 +57,7 @@
       Vector<Answer> answers, RoundTrips roundTrips, Option<Endpoint> idle, long nowNanos) {
     Vector<Candidate> free =
         candidates(answers, roundTrips, nowNanos)
-            .filter(candidate -> candidate.offer() == Offer.FREE_SLOT);
+            .filter(candidate -> candidate.offer() == ServerOffer.FREE_SLOT);
     return free.find(candidate -> idle.contains(candidate.answer().endpoint()))
         .orElse(() -> best(free))
         .map(candidate -> candidate.chosen(0));
@@ -80,23 +72,23 @@
       Vector<Answer> answers, RoundTrips roundTrips, long targetLatencyMillis, long nowNanos) {
     Vector<Candidate> candidates = candidates(answers, roundTrips, nowNanos);
     Vector<Candidate> healthy =
-        candidates.filter(c -> c.offer() == Offer.FREE_SLOT || c.offer() == Offer.WAIT);
+        candidates.filter(c -> c.offer() == ServerOffer.FREE_SLOT || c.offer() == ServerOffer.WAIT);
     Option<Candidate> own = best(healthy.filter(Candidate::isInOwnDomain));
     if (own.isDefined()) {
       return Option.some(ownOrOther(own.get(), healthy, targetLatencyMillis));
     }
     Option<Candidate> any =
         best(healthy)
-            .orElse(() -> best(candidates.filter(c -> c.offer() == Offer.UNPROVEN_SERVER)))
-            .orElse(() -> best(candidates.filter(c -> c.offer() == Offer.FAILING_SERVER)));
+            .orElse(() -> best(candidates.filter(c -> c.offer() == ServerOffer.UNPROVEN_SERVER)))
+            .orElse(() -> best(candidates.filter(c -> c.offer() == ServerOffer.FAILING_SERVER)));
     return any.map(candidate -> candidate.chosen(0));
   }
 
   private static ServerChoice ownOrOther(
       Candidate own, Vector<Candidate> healthy, long targetLatencyMillis) {
     Option<Candidate> other =
-        best(healthy.filter(c -> !c.isInOwnDomain() && c.offer() == Offer.FREE_SLOT));
-    if (own.offer() == Offer.FREE_SLOT || other.isEmpty()) {
+        best(healthy.filter(c -> !c.isInOwnDomain() && c.offer() == ServerOffer.FREE_SLOT));
+    if (own.offer() == ServerOffer.FREE_SLOT || other.isEmpty()) {
       return own.chosen(0);
     }
     long savedMicros = own.time().totalMicros() - other.get().time().totalMicros();
@@ -137,19 +129,19 @@
     return new Candidate(answer, offer(known), time, cost, idle);
   }
 
-  private static Offer offer(KnownReport known) {
+  private static ServerOffer offer(KnownReport known) {
     if (known.admitsNow()) {
-      return Offer.FREE_SLOT;
+      return ServerOffer.FREE_SLOT;
     }
     switch (known.report().refusal().getOrElse(ResultCode.HOST_QUEUE_FULL)) {
       case HOST_QUEUE_FULL:
-        return Offer.WAIT;
+        return ServerOffer.WAIT;
       case BACKEND_SERVER_UNPROVEN:
-        return Offer.UNPROVEN_SERVER;
+        return ServerOffer.UNPROVEN_SERVER;
       case BACKEND_SERVER_FAILING:
-        return Offer.FAILING_SERVER;
+        return ServerOffer.FAILING_SERVER;
       default:
-        return Offer.NOTHING;
+        return ServerOffer.NOTHING;
     }
   }
 
--- a/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -6,6 +6,7 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import org.clementinepost.api.AdmissionMode;
 import org.clementinepost.api.Failure;
@@ -332,4 +333,19 @@
     assertThat(resultText(Either.left(Failure.of(ResultCode.HOST_QUEUE_FULL))))
         .isEqualTo("HOST_QUEUE_FULL");
   }
+
+  @Test
+  void reportsHowLongARequestHeldItsSlot() {
+    announce();
+    admit("a");
+    nowMillis += 120;
+    Vector<HostEffect> effects =
+        decide(new HostEvent.RequestEnded(1, Option.none(), 200, 90_000, nowNanos()));
+    HostEffect.SlotReleased released =
+        (HostEffect.SlotReleased)
+            effects.find(effect -> effect instanceof HostEffect.SlotReleased).get();
+    assertThat(released.request().request().value()).isEqualTo("a");
+    assertThat(released.heldNanos()).isEqualTo(TimeUnit.MILLISECONDS.toNanos(120));
+    assertThat(released.end().serverMicros()).isEqualTo(90_000);
+  }
 }
