Discard a response whose caller left before it was written

What callers saw: a slot less at the server that had answered them.

Cause: if the connection of the caller closes just before the response is written, the HTTP library ends the write without reading the body. A body that is passed on as it arrives, since the deadline is near, then waits at its host for a reader for good, and so does its slot.

Change: the writer discards a response that it has not read.

--- a/node/src/main/java/org/clementinepost/node/edge/ResponseWriter.java
+++ b/node/src/main/java/org/clementinepost/node/edge/ResponseWriter.java
@@ -6,6 +6,8 @@
 import io.vavr.control.Option;
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import org.clementinepost.api.Chunk;
 import org.clementinepost.api.Failure;
 import org.clementinepost.api.RequestId;
@@ -13,6 +15,7 @@
 import org.clementinepost.node.exchange.BackendResponse;
 import org.clementinepost.node.exchange.WritabilityGate;
 import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -90,8 +93,25 @@
     if (request.method().equals(HttpMethod.HEAD)) {
       return backendResponse.body().then(response.sendHeaders().then());
     }
-    return response.sendByteArray(
-        WritabilityGate.pace(backendResponse.body(), response).map(Chunk::bytes));
+    return sendOrDiscard(
+        backendResponse,
+        body -> response.sendByteArray(WritabilityGate.pace(body, response).map(Chunk::bytes)));
+  }
+
+  /**
+   * Sends a body, and discards a response whose body is not read since the caller has just left.
+   */
+  static Publisher<Void> sendOrDiscard(
+      BackendResponse response, Function<Flux<Chunk>, Publisher<Void>> send) {
+    AtomicBoolean read = new AtomicBoolean();
+    Flux<Chunk> body = response.body().doOnSubscribe(subscription -> read.set(true));
+    return Flux.from(send.apply(body))
+        .doFinally(
+            signal -> {
+              if (!read.get()) {
+                response.discard();
+              }
+            });
   }
 
   private static Publisher<Void> writeFailure(
