Take slots back from requests whose end is never reported

Change: a slot is a lease. A second after the deadline of its request, when nothing can be running any more, the host takes it back, logs slot-expired and counts host.slot.expired. The test fails without the expiry: its requests are refused with HOST_QUEUE_FULL.

--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -125,6 +125,15 @@
       metrics.record(released);
       return;
     }
+    if (effect instanceof HostEffect.SlotExpired expired) {
+      logger.atWarning().log(
+          "event=slot-expired request=%s server=%s heldMillis=%d",
+          expired.request().request(),
+          expired.request().server(),
+          TimeUnit.NANOSECONDS.toMillis(expired.heldNanos()));
+      metrics.recordExpiredSlot();
+      return;
+    }
     if (effect instanceof HostEffect.SuspicionChanged changed) {
       logger.atWarning().log(
           "event=server-health server=%s suspected=%s status=%d code=%d",
--- a/node/src/main/java/org/clementinepost/node/host/QueueMetrics.java
+++ b/node/src/main/java/org/clementinepost/node/host/QueueMetrics.java
@@ -48,6 +48,10 @@
             Math.max(0, heldMicros - released.end().serverMicros())));
   }
 
+  void recordExpiredSlot() {
+    count("host.slot.expired");
+  }
+
   private void count(String name) {
     metrics.send(new MetricsMessage.IncrementCounter(name));
   }
--- a/policy/src/main/java/org/clementinepost/policy/host/AdmittedRequest.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/AdmittedRequest.java
@@ -11,6 +11,7 @@
  * @param request the id of the request
  * @param kind the kind of the request
  * @param admittedNanos when it was admitted
+ * @param maxHeldNanos the time for which it may hold its slot
  * @param charge what it was charged to its customer; none if it was not charged
  */
 public record AdmittedRequest(
@@ -18,4 +19,9 @@
     RequestId request,
     RequestKind kind,
     long admittedNanos,
-    Option<RunCharge> charge) {}
+    long maxHeldNanos,
+    Option<RunCharge> charge) {
+  boolean isExpired(long nowNanos) {
+    return nowNanos - admittedNanos >= maxHeldNanos;
+  }
+}
--- a/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostEffect.java
@@ -55,6 +55,13 @@
   record SlotReleased(AdmittedRequest request, long heldNanos, HostEvent.RequestEnded end)
       implements HostEffect {}
 
+  /**
+   * Logs and counts that a slot was taken back, since the end of its request was never reported.
+   *
+   * @param heldNanos how long the request held the slot
+   */
+  record SlotExpired(AdmittedRequest request, long heldNanos) implements HostEffect {}
+
   /** Replies to a load query. */
   record LoadReported(LoadReport report, Reply<LoadReport> reply) implements HostEffect {}
 
--- a/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostPolicy.java
@@ -67,9 +67,7 @@
       return publishIfChanged(state, Step.to(AnnouncementPolicy.onDiscovery(state, discovered)));
     }
     if (event instanceof HostEvent.Tick tick) {
-      HostState next = AnnouncementPolicy.withoutExpired(state, tick.nowNanos());
-      return scheduleTickIfWaiting(
-          publishIfChanged(state, admissionPolicy.processQueue(next, tick.nowNanos())));
+      return scheduleTickIfWaiting(publishIfChanged(state, onTick(state, tick.nowNanos())));
     }
     if (event instanceof HostEvent.Stop stop) {
       HostState next = state.withStopListener(stop.listener());
@@ -80,6 +78,14 @@
         state, Step.to(state.withSnapshot(((HostEvent.Configured) event).snapshot())));
   }
 
+  private Step<HostState, HostEffect> onTick(HostState state, long nowNanos) {
+    HostState next = AnnouncementPolicy.withoutExpired(state, nowNanos);
+    Step<HostState, HostEffect> expired = SlotExpiry.release(next, nowNanos);
+    Step<HostState, HostEffect> step =
+        expired.then(current -> admissionPolicy.processQueue(current, nowNanos));
+    return expired.effects().isEmpty() ? step : reportInFlightIfStopping(step);
+  }
+
   private Step<HostState, HostEffect> onRequestEnded(
       HostState state, HostEvent.RequestEnded ended) {
     HostState next = state.withRequestEnded(ended);
--- a/policy/src/main/java/org/clementinepost/policy/host/HostState.java
+++ b/policy/src/main/java/org/clementinepost/policy/host/HostState.java
@@ -81,7 +81,13 @@
     HostedServer charged =
         charge.fold(() -> server, c -> server.withShares(server.shares().withAdmission(c)));
     AdmittedRequest admitted =
-        new AdmittedRequest(id, head.requestId(), RequestKind.of(head), nowNanos, charge);
+        new AdmittedRequest(
+            id,
+            head.requestId(),
+            RequestKind.of(head),
+            nowNanos,
+            SlotExpiry.maxHeldNanos(head.timeoutMillis()),
+            charge);
     return toBuilder()
         .servers(servers.put(id, charged))
         .admissions(admissions.put(nextAdmissionId, admitted))
@@ -100,6 +106,11 @@
     return released;
   }
 
+  /** Returns a copy without a request that has not reported its end. */
+  HostState withSlotExpired(long admissionId, long nowNanos) {
+    return withRequestEnded(new HostEvent.RequestEnded(admissionId, Option.none(), 0, 0, nowNanos));
+  }
+
   /** Charges the customer the time for which its request held a slot. */
   private HostedServer withRunCharged(HostedServer server, AdmittedRequest request, long nowNanos) {
     return request
--- a/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
+++ b/policy/src/test/java/org/clementinepost/policy/host/HostPolicyTest.java
@@ -348,4 +348,26 @@
     assertThat(released.heldNanos()).isEqualTo(TimeUnit.MILLISECONDS.toNanos(120));
     assertThat(released.end().serverMicros()).isEqualTo(90_000);
   }
+
+  /** Guards against slots that are held for good since the end of a request was not reported. */
+  @Test
+  void slotOfRequestThatNeverEndsIsTakenBackAfterItsDeadline() {
+    announce();
+    admit("a");
+    admit("b");
+    nowMillis += 5_900;
+    announce(announcement("s-1", Announcement.State.SERVING, 0, 1, 2));
+    decide(new HostEvent.Tick(nowNanos()));
+    admit("c");
+    nowMillis += 100;
+    assertThat(decide(new HostEvent.Tick(nowNanos())))
+        .filteredOn(effect -> effect instanceof HostEffect.SlotExpired)
+        .hasSize(2);
+    admit("d");
+    endRequest(1, 200);
+    admit("e");
+    admit("f");
+    assertThat(results)
+        .containsExactly("a ok", "b ok", "c HOST_QUEUE_FULL", "d ok", "e ok", "f HOST_QUEUE_FULL");
+  }
 }
