Free a slot once the whole response is in the memory of its host

What callers saw: at full servers of a small service, downloads were refused by one host after the other although the servers had ended their runs.

Cause: a host reads a response of up to 1 MiB as fast as its server writes it, but reported the end only when the ingress node had read the last byte: a round trip at least, and the links of both machines for 90 KB.

Change: a response that is whole in memory is reported at once. Its memory counts against the buffer budget of the process; when that is spent, the slot is held as before, so slow readers stay bounded.

--- a/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BackendClient.java
@@ -98,7 +98,7 @@
         .maxMessagesPerRead(MAX_READS_PER_LOOP);
   }
 
-  Mono<Either<Failure, BackendResponse>> send(
+  Mono<Either<Failure, ReceivedResponse>> send(
       Admission admission, RequestHead head, Flux<Chunk> body, ExchangeStart start) {
     long deadlineMillis = scheduler.now(TimeUnit.MILLISECONDS) + head.timeoutMillis();
     return prepareRequest(admission, head, body, start)
@@ -148,7 +148,7 @@
     }
   }
 
-  private Mono<Either<Failure, BackendResponse>> toResponse(
+  private Mono<Either<Failure, ReceivedResponse>> toResponse(
       Admission admission,
       RequestHead request,
       long deadlineMillis,
@@ -179,19 +179,29 @@
     long bodyBytes = contentLength(headers);
     if (bodyBytes > MAX_BUFFERED_BYTES) {
       return Mono.just(
-          Either.right(new BackendResponse(head, untilDeadline(body, deadlineMillis, connection))));
+          Either.right(
+              ReceivedResponse.partial(
+                  new BackendResponse(head, untilDeadline(body, deadlineMillis, connection)))));
     }
     return BodyBuffer.read(body, MAX_BUFFERED_BYTES, MAX_UNSIZED_BODY_BYTES)
-        .map(
-            buffered ->
-                buffered.complete()
-                    ? new BackendResponse(head, buffered.body())
-                    : new BackendResponse(
-                        head, untilDeadline(buffered.body(), deadlineMillis, connection)))
-        .map(Either::<Failure, BackendResponse>right)
+        .map(buffered -> toReceived(head, buffered, deadlineMillis, connection))
+        .map(Either::<Failure, ReceivedResponse>right)
         .onErrorResume(error -> Mono.just(Either.left(toFailure(admission, error))));
   }
 
+  private ReceivedResponse toReceived(
+      ResponseHead head,
+      BodyBuffer.BufferedBody buffered,
+      long deadlineMillis,
+      Connection connection) {
+    if (buffered.complete()) {
+      return new ReceivedResponse(
+          new BackendResponse(head, buffered.body()), Option.some(buffered.bufferedBytes()));
+    }
+    return ReceivedResponse.partial(
+        new BackendResponse(head, untilDeadline(buffered.body(), deadlineMillis, connection)));
+  }
+
   /** Fails a body that the HTTP library completes although the response broke off. */
   private static Mono<Chunk> failUnlessReached(ResponseGuard.ResponseEnd end) {
     return Mono.defer(
@@ -206,7 +216,7 @@
   }
 
   /** Closes the connection of an invalid response; whether its request has run is unknown. */
-  private static Mono<Either<Failure, BackendResponse>> rejectResponse(
+  private static Mono<Either<Failure, ReceivedResponse>> rejectResponse(
       Admission admission, Connection connection, String detail) {
     connection.dispose();
     return Mono.just(
@@ -218,7 +228,7 @@
    * Returns the failure for a refusal, and keeps the connection only if a copy of this refusal that
    * arrives on it later can be told from the response to another request.
    */
-  private Mono<Either<Failure, BackendResponse>> onRefusal(
+  private Mono<Either<Failure, ReceivedResponse>> onRefusal(
       Admission admission,
       RequestHead request,
       HttpHeaders headers,
@@ -229,7 +239,7 @@
       return rejectResponse(admission, connection, "second refusal of a request on one connection");
     }
     refusedBefore.with(request.requestId()).store(connection.channel());
-    Mono<Either<Failure, BackendResponse>> refusal = drainRefusal(admission, body);
+    Mono<Either<Failure, ReceivedResponse>> refusal = drainRefusal(admission, body);
     boolean reusable = headers.contains(dialect.requestIdHeader()) && !refusedBefore.isFull();
     return reusable ? refusal : refusal.doOnNext(result -> connection.dispose());
   }
@@ -238,7 +248,7 @@
    * Reads the body of a refusal and returns the failure. The head alone shows that the request
    * didn't run, so the body is discarded if it is slow or long.
    */
-  private Mono<Either<Failure, BackendResponse>> drainRefusal(
+  private Mono<Either<Failure, ReceivedResponse>> drainRefusal(
       Admission admission, Flux<Chunk> body) {
     Failure failure = Failure.of(ResultCode.BACKEND_SERVER_SHED, admission.server().value());
     return BodyBuffer.read(body, MAX_REFUSAL_BODY_BYTES, MAX_REFUSAL_BODY_BYTES)
--- a/node/src/main/java/org/clementinepost/node/exchange/BodyBuffer.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/BodyBuffer.java
@@ -45,9 +45,10 @@
    * A body that has been buffered completely or in part.
    *
    * @param complete whether the whole body is in memory
+   * @param bufferedBytes the length of what is in memory
    * @param body the body from its beginning; to be subscribed to only once unless it is complete
    */
-  public record BufferedBody(boolean complete, Flux<Chunk> body) {}
+  public record BufferedBody(boolean complete, long bufferedBytes, Flux<Chunk> body) {}
 
   /**
    * Reads a body within the budget of the process; fails if the body fails before it is streamed.
@@ -95,7 +96,8 @@
             .doOnRequest(this::request)
             .doOnCancel(this::cancel)
             .limitRate(PREFETCH_CHUNKS);
-    sink.success(new BufferedBody(false, releaseAtEnd(Flux.concat(takePrefix(), streamed))));
+    sink.success(
+        new BufferedBody(false, totalBytes, releaseAtEnd(Flux.concat(takePrefix(), streamed))));
   }
 
   private Flux<Chunk> releaseAtEnd(Flux<Chunk> body) {
@@ -136,7 +138,7 @@
       remainder.tryEmitComplete();
       return;
     }
-    sink.success(new BufferedBody(true, releaseAtEnd(takePrefix())));
+    sink.success(new BufferedBody(true, totalBytes, releaseAtEnd(takePrefix())));
   }
 
   @Override
--- a/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
+++ b/node/src/main/java/org/clementinepost/node/exchange/ExchangeService.java
@@ -119,7 +119,8 @@
 
   private Mono<Either<Failure, BackendResponse>> exchange(
       ExchangeMessage.Send send, Admission admission, long requestedNanos, ExchangeStart start) {
-    RequestEndReporter endReporter = new RequestEndReporter(host, admission, context.clock());
+    RequestEndReporter endReporter =
+        new RequestEndReporter(host, admission, context.clock(), BufferBudget.PROCESS);
     long waitedMillis = TimeUnit.NANOSECONDS.toMillis(context.clock().nowNanos() - requestedNanos);
     RequestHead head =
         send.head().nextAttempt(send.head().attempt(), send.head().timeoutMillis() - waitedMillis);
