--- a/node/src/main/java/org/clementinepost/node/host/HostService.java
+++ b/node/src/main/java/org/clementinepost/node/host/HostService.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.collection.Vector;
-import java.util.concurrent.TimeUnit;
 import org.clementinepost.api.Endpoint;
 import org.clementinepost.api.Member;
 import org.clementinepost.kernel.Address;
@@ -22,9 +21,6 @@
 import org.clementinepost.policy.host.HostPolicy;
 import org.clementinepost.policy.host.HostState;
 import org.clementinepost.policy.host.QueueDiscipline;
-import org.clementinepost.policy.host.QueueGroup;
-import org.clementinepost.policy.host.QueueRefusal;
-import org.clementinepost.policy.host.RequestKind;
 
 /** Admits requests to the backend servers of this VM: runs {@link HostPolicy} as a task. */
 public final class HostService {
@@ -111,7 +107,7 @@
       Address<DirectoryMessage> directory,
       QueueMetrics metrics) {
     if (effect instanceof HostEffect.AdmissionDecided decided) {
-      logDecided(decided);
+      HostLog.log(decided);
       metrics.record(decided);
       decided.reply().send(decided.result());
       return;
@@ -121,26 +117,17 @@
       return;
     }
     if (effect instanceof HostEffect.SlotReleased released) {
-      logReleased(released);
+      HostLog.log(released);
       metrics.record(released);
       return;
     }
     if (effect instanceof HostEffect.SlotExpired expired) {
-      logger.atWarning().log(
-          "event=slot-expired request=%s server=%s heldMillis=%d",
-          expired.request().request(),
-          expired.request().server(),
-          TimeUnit.NANOSECONDS.toMillis(expired.heldNanos()));
+      HostLog.log(expired);
       metrics.recordExpiredSlot();
       return;
     }
     if (effect instanceof HostEffect.SuspicionChanged changed) {
-      logger.atWarning().log(
-          "event=server-health server=%s suspected=%s status=%d code=%d",
-          changed.server(),
-          changed.suspected(),
-          changed.cause().status(),
-          changed.cause().failure().map(failure -> failure.code().number()).getOrElse(0));
+      HostLog.log(changed);
       return;
     }
     if (effect instanceof HostEffect.LoadReported reported) {
@@ -160,38 +147,6 @@
     directory.send(new DirectoryMessage.LocalEndpointsChanged(endpoints(publish.serving(), self)));
   }
 
-  private static void logDecided(HostEffect.AdmissionDecided decided) {
-    logger.atInfo().log(
-        "event=admission request=%s attempt=%d server=%s result=%s waitedMillis=%d group=%s"
-            + " queue=%s mode=%s leftMillis=%d suspected=%b",
-        decided.head().requestId(),
-        decided.head().attempt(),
-        decided.server(),
-        decided.result().fold(failure -> failure.code().number(), admission -> 0),
-        TimeUnit.NANOSECONDS.toMillis(decided.waitedNanos()),
-        decided.group().map(QueueGroup::name).getOrElse("NONE"),
-        decided.queueRefusal().map(QueueRefusal::name).getOrElse("NONE"),
-        decided.head().options().admissionMode(),
-        decided.head().timeoutMillis() - TimeUnit.NANOSECONDS.toMillis(decided.waitedNanos()),
-        decided.toSuspected());
-  }
-
-  private static void logReleased(HostEffect.SlotReleased released) {
-    RequestKind kind = released.request().kind();
-    logger.atInfo().log(
-        "event=slot-released request=%s server=%s idempotent=%b priority=%d targetMillis=%d"
-            + " heldMicros=%d serverMicros=%d status=%d result=%d",
-        released.request().request(),
-        released.request().server(),
-        kind.idempotent(),
-        kind.priority(),
-        kind.targetLatencyMillis(),
-        TimeUnit.NANOSECONDS.toMicros(released.heldNanos()),
-        released.end().serverMicros(),
-        released.end().status(),
-        released.end().failure().map(failure -> failure.code().number()).getOrElse(0));
-  }
-
   private static Vector<Endpoint> endpoints(Vector<Announcement> serving, Member self) {
     return serving.map(
         announcement ->
