--- a/node/src/main/java/org/clementinepost/node/host/QueueMetrics.java
+++ b/node/src/main/java/org/clementinepost/node/host/QueueMetrics.java
@@ -9,7 +9,7 @@
 import org.clementinepost.policy.host.HostEffect;
 import org.clementinepost.policy.host.QueueGroup;
 
-/** Records what an operator sees of the requests that wait at a host. */
+/** Records what an operator sees of the requests that wait at a host, or hold its slots. */
 final class QueueMetrics {
   private final Address<MetricsMessage> metrics;
 
